Serve the users' platform by a thin path: routes, discovery, direct sending

Cause: the product spoke only its own wire; the users' callers, targets and store speak theirs. Change: savorycross/platform translates settings, store calls, entries, configurations and headers; new parts of the product: wire (HTTP on sockets), route, discovery (mirror of the store), fleet (heartbeats, entry answers), forward (choice, retries, hedges, merging), gateway.

--- /dev/null
+++ b/savorycross/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What the store holds: configuration, targets, instances."""
--- /dev/null
+++ b/savorycross/discovery/follower.py
@@ -0,0 +1,115 @@
+"""Keeps a mirror up to date with the store."""
+
+import trio
+
+from savorycross import errors
+
+# The store answers a watch within this time even if nothing changed.
+WATCH_WAIT_S = 10.0
+# Changes that come close together are read with one call.
+COALESCE_S = 0.3
+RETRY_FIRST_S = 0.2
+RETRY_MOST_S = 1.0
+
+
+class Follower:
+    """Lists the store's items once, then watches for changes.
+
+    :param store: ItemStore.
+    :param mirror: Mirror.
+    :param log: EventLog.
+    :param on_synced: called after each answer.
+    """
+
+    def __init__(self, store, mirror, log, on_synced=lambda: None):
+        self._store = store
+        self._mirror = mirror
+        self._log = log
+        self._on_synced = on_synced
+        self._scope = trio.CancelScope()
+        self._failed_at = None
+        self.answered_at = None
+
+    @property
+    def is_connected(self):
+        """Whether the store answered the latest call."""
+        return self._failed_at is None and self.answered_at is not None
+
+    def restart(self):
+        """Ask again at once, as the waiting call may be dead."""
+        self._scope.cancel()
+
+    async def run(self):
+        """Follow the store until cancelled."""
+        pause = RETRY_FIRST_S
+        while True:
+            try:
+                if not await self._follow():
+                    self._log.event('store.watch_restarted')
+                pause = RETRY_FIRST_S
+            except errors.HistoryGoneError:
+                self._log.event('store.history_gone')
+                self._mirror.is_complete = False
+            except errors.StoreUnavailableError as exc:
+                self._note_failure(exc)
+                await trio.sleep(pause)
+                pause = min(pause * 2, RETRY_MOST_S)
+
+    async def _follow(self):
+        """Follow; return False if the call was cut by ``restart``."""
+        with trio.CancelScope() as self._scope:
+            if not self._mirror.is_complete:
+                await self._list()
+            while True:
+                await self._watch()
+        return False
+
+    async def _list(self):
+        keys = set()
+        after = ''
+        first = None
+        while True:
+            page = await self._store.read_page(after)
+            self._note_answer()
+            if first is None:
+                first = page.revision
+            self._take(page.items)
+            keys.update(item.key for item in page.items)
+            if not page.has_more:
+                break
+            after = page.items[-1].key
+        self._mirror.retain(keys, trio.current_time())
+        self._mirror.revision = max(first, self._mirror.revision)
+        self._mirror.is_complete = True
+        self._on_synced()
+        self._log.event('store.listed', items=len(keys), revision=first)
+
+    async def _watch(self):
+        page = await self._store.watch(self._mirror.revision, WATCH_WAIT_S)
+        self._note_answer()
+        self._take(page.items)
+        self._mirror.revision = max(page.revision, self._mirror.revision)
+        self._on_synced()
+        if page.items:
+            await trio.sleep(COALESCE_S)
+
+    def _take(self, items):
+        now = trio.current_time()
+        for item in items:
+            self._mirror.apply(item, now)
+
+    def _note_answer(self):
+        now = trio.current_time()
+        self.answered_at = now
+        if self._failed_at is None:
+            return
+        self._mirror.note_outage(now)
+        self._log.event('store.regained', after_s=now - self._failed_at)
+        self._failed_at = None
+
+    def _note_failure(self, exc):
+        now = trio.current_time()
+        self._mirror.note_outage(now)
+        if self._failed_at is None:
+            self._failed_at = now
+            self._log.event('store.lost', reason=str(exc))
--- /dev/null
+++ b/savorycross/discovery/mirror.py
@@ -0,0 +1,72 @@
+"""A copy of the store's items on one instance."""
+
+# Entries that lapsed while the store was away return within 2 s of its
+# return; a little more lets the last of them arrive.
+RETURN_HOLD_S = 2.2
+
+
+class Mirror:
+    """The newest known items by key.
+
+    Removals that come with or just after an outage of the store are held
+    back for a while: a live owner writes its entry again.
+
+    :param on_change: called with the key and the Item, or None once it is
+        removed.
+    """
+
+    def __init__(self, on_change):
+        self.revision = 0
+        self.is_complete = False
+        self.items = {}
+        self._on_change = on_change
+        self._removed = {}
+        self._held = {}
+        self._hold_until = 0.0
+
+    def apply(self, item, now):
+        """Take an item or a removal; older ones are ignored."""
+        key = item.key
+        known = self.items.get(key)
+        if known is not None and known.revision >= item.revision:
+            return
+        if self._removed.get(key, 0) >= item.revision:
+            return
+        if not item.removed:
+            self._held.pop(key, None)
+            self._removed.pop(key, None)
+            self.items[key] = item
+            if known is None or known.value != item.value:
+                self._on_change(key, item)
+            return
+        self._removed[key] = item.revision
+        if known is not None:
+            self._remove(key, now)
+
+    def retain(self, keys, now):
+        """Remove all items but these, after a complete listing."""
+        for key in [k for k in self.items if k not in keys]:
+            self._remove(key, now)
+
+    def note_outage(self, now):
+        """Hold removals back, as the store does not answer."""
+        self._hold_until = max(self._hold_until, now + RETURN_HOLD_S)
+
+    def release(self, now):
+        """Carry out the removals whose time has come."""
+        if not self._held or now < self._hold_until:
+            return
+        held, self._held = self._held, {}
+        for key, revision in held.items():
+            known = self.items.get(key)
+            if known is not None and known.revision == revision:
+                del self.items[key]
+                self._on_change(key, None)
+
+    def _remove(self, key, now):
+        if now < self._hold_until:
+            self._held[key] = self.items[key].revision
+            return
+        del self.items[key]
+        self._held.pop(key, None)
+        self._on_change(key, None)
--- a/savorycross/errors.py
+++ b/savorycross/errors.py
@@ -190,3 +190,29 @@
     code = 'no_instance'
     http_status = 503
     exit_status = 5
+
+
+class ConnectionLostError(SavorycrossError):
+    """A connection ended, or stayed silent, before the reply."""
+
+    code = 'connection_lost'
+    http_status = 502
+    outcome = UNKNOWN_OUTCOME
+
+
+class HistoryGoneError(SavorycrossError):
+    """The store no longer holds the changes after a revision."""
+
+    code = 'history_gone'
+
+
+class LeaseEndedError(SavorycrossError):
+    """The lease does not exist any more."""
+
+    code = 'lease_ended'
+
+
+class ConfigurationInvalidError(SavorycrossError):
+    """A configuration that cannot be read; the one in force stays."""
+
+    code = 'configuration_invalid'
--- /dev/null
+++ b/savorycross/events/log.py
@@ -0,0 +1,65 @@
+"""Structured log lines with a bounded volume."""
+
+import collections
+import sys
+
+import loguru
+
+# Lines a second for each name of event, and the burst on top.
+LINES_PER_S = 10.0
+BURST_LINES = 30.0
+
+
+class EventLog:
+    """Writes one JSON line for each event, within a budget by name.
+
+    Lines beyond the budget are counted; the count goes into the next line
+    of the same name. Output that would block is dropped.
+
+    :param instance: name of the instance, put into each line.
+    :param clock: callable that returns runtime seconds.
+    """
+
+    def __init__(self, instance, clock):
+        self._logger = loguru.logger.bind(instance=instance)
+        self._clock = clock
+        self._tokens = collections.defaultdict(lambda: BURST_LINES)
+        self._at = {}
+        self._dropped = collections.Counter()
+
+    def event(self, event, request='', **fields):
+        """Log an event.
+
+        :param event: dotted name such as ``store.lost``.
+        :param request: id of the request that it touches.
+        """
+        now = self._clock()
+        earned = (now - self._at.get(event, now)) * LINES_PER_S
+        self._at[event] = now
+        tokens = min(self._tokens[event] + earned, BURST_LINES)
+        if tokens < 1.0:
+            self._tokens[event] = tokens
+            self._dropped[event] += 1
+            return
+        self._tokens[event] = tokens - 1.0
+        dropped = self._dropped.pop(event, 0)
+        if dropped:
+            fields['dropped'] = dropped
+        if request:
+            fields['request'] = request
+        self._logger.info(event, **fields)
+
+
+class NullLog:
+    """Drops all events."""
+
+    def event(self, event, request='', **fields):
+        """Drop an event."""
+
+
+def configure(stream=None):
+    """Send the lines of all event logs to standard output as JSON."""
+    from savorycross.events import sink
+
+    loguru.logger.remove()
+    loguru.logger.add(sink.Sink(stream or sys.stdout), format='{message}')
--- /dev/null
+++ b/savorycross/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are there, told by heartbeats between them."""
--- /dev/null
+++ b/savorycross/forward/__init__.py
@@ -0,0 +1,1 @@
+"""One request at targets: choice, limits, retries, hedges, merging."""
--- /dev/null
+++ b/savorycross/forward/engine.py
@@ -0,0 +1,81 @@
+"""What all calls of an instance share."""
+
+import trio
+
+from savorycross.forward import budget as budgets
+from savorycross.forward import pace as paces
+
+MAX_PACES = 2000
+
+
+class Engine:
+    """Targets, budgets and latencies that calls decide by.
+
+    :param site: Site.
+    :param dialect: Dialect.
+    :param roster: Roster.
+    :param picker: Picker.
+    :param timers: Timers.
+    :param log: EventLog.
+    :param metrics: Registry.
+    """
+
+    def __init__(self, site, dialect, roster, picker, timers, log, metrics):
+        self.dialect = dialect
+        self.roster = roster
+        self.timers = timers
+        self.log = log
+        self.metrics = metrics
+        self._site = site
+        self._picker = picker
+        self._budgets = {}
+        self._paces = {}
+        self._instances = 1
+
+    def now(self):
+        """Return the runtime clock time in seconds."""
+        return trio.current_time()
+
+    def set_instances(self, n):
+        """Set the number of instances that share all limits."""
+        self._instances = n
+        self.roster.set_instances(n)
+        for found in self._budgets.values():
+            found.set_instances(n)
+
+    def budget(self, service):
+        """Return the ExtraBudget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            fraction = 1.0 if self._site.is_first_start else budgets.RESTART
+            found = budgets.ExtraBudget(self._site.extra, self.now(), fraction)
+            found.set_instances(self._instances)
+            self._budgets[service] = found
+        return found
+
+    def pace(self, route):
+        """Return the Pace of a route."""
+        found = self._paces.get(route.name)
+        if found is None:
+            if len(self._paces) >= MAX_PACES:
+                self._paces.clear()
+            found = paces.Pace(route.objective_s)
+            self._paces[route.name] = found
+        return found
+
+    def pick(self, service, tried, now):
+        """Return the TargetState for a send, or None."""
+        states = self.roster.usable(service)
+        return self._picker.pick(states, tried, now, self._cold_limit(service))
+
+    def count_send(self, service, is_extra):
+        """Count a send."""
+        self.metrics.count('sends', kind='extra' if is_extra else 'first')
+
+    def _cold_limit(self, service):
+        found = self.roster.service(service)
+        if found is None or not found.cold_rate:
+            return None
+        cold = self._site.cold
+        total = found.cold_rate * cold.overage + cold.slack
+        return int(total / self._instances)
--- /dev/null
+++ b/savorycross/forward/target_state.py
@@ -0,0 +1,96 @@
+"""What this instance believes of a target."""
+
+EWMA_WEIGHT = 0.15
+# A measured slowness is halved toward the usual after this time unused.
+FORGET_S = 2.0
+# Failures in a row after which a target is left out.
+MAX_FAILURES = 2
+EJECT_FIRST_S = 0.5
+EJECT_MOST_S = 4.0
+# Slowness of one target in a sample is cut here.
+MAX_SLOWNESS = 20.0
+# Cold targets take no more than this in one second where no rate is given.
+COLD_WINDOW_S = 1.0
+
+
+class TargetState:
+    """Load, latency and failures of one incarnation of a target.
+
+    Slowness is latency by the usual latency of the same route, so that
+    requests of different size can be compared.
+
+    :param target: Target.
+    :param pool: Pool of its connections.
+    """
+
+    def __init__(self, target, pool, now):
+        self.target = target
+        self.pool = pool
+        self.known_at = now
+        self.outstanding = {}
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.cold_until = 0.0
+        self._slowness = 1.0
+        self._sampled_at = now
+        self._cold_sends = []
+
+    def slowness(self, now):
+        """Return latency by the usual one; old samples fade."""
+        age = now - self._sampled_at
+        return 1.0 + (self._slowness - 1.0) * 0.5 ** (age / FORGET_S)
+
+    def suspicion(self, now):
+        """Return how far the oldest send in flight is beyond the usual."""
+        for started_at, usual_s in self.outstanding.values():
+            return max(0.0, (now - started_at) / usual_s - 2.0)
+        return 0.0
+
+    def begin(self, attempt, now, usual_s):
+        """Note a send.
+
+        :param usual_s: usual latency of its route in seconds.
+        """
+        self.outstanding[attempt] = (now, usual_s)
+
+    def end(self, attempt):
+        """Note that a send is over."""
+        self.outstanding.pop(attempt, None)
+
+    def add_latency(self, ratio, now):
+        """Add a measured latency by the usual one."""
+        current = self.slowness(now)
+        ratio = min(ratio, MAX_SLOWNESS)
+        self._slowness = current + EWMA_WEIGHT * (ratio - current)
+        self._sampled_at = now
+
+    def succeed(self):
+        """Note an answer."""
+        self.failures = 0
+
+    def fail(self, now):
+        """Note a failure; return True if the target is now ejected."""
+        self.failures += 1
+        if self.failures < MAX_FAILURES:
+            return False
+        wait = EJECT_FIRST_S * 2 ** (self.failures - MAX_FAILURES)
+        self.ejected_until = now + min(wait, EJECT_MOST_S)
+        return True
+
+    def is_ejected(self, now):
+        """Whether the target is left out for its failures."""
+        return now < self.ejected_until
+
+    def take_cold(self, now, limit):
+        """Count a send to a cold target; return False beyond the limit.
+
+        :param limit: sends in any second, or None for no bound.
+        """
+        if limit is None or now >= self.cold_until:
+            return True
+        since = now - COLD_WINDOW_S
+        self._cold_sends = [t for t in self._cold_sends if t > since]
+        if len(self._cold_sends) + 1 > limit:
+            return False
+        self._cold_sends.append(now)
+        return True
--- /dev/null
+++ b/savorycross/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests by route: from a caller to targets and back."""
--- /dev/null
+++ b/savorycross/gateway/gateway.py
@@ -0,0 +1,105 @@
+"""Handles callers' requests by the configuration in force."""
+
+from savorycross.forward import gather
+from savorycross.forward import single
+from savorycross.route import route as routes
+from savorycross.route import split
+
+# Time before the end of a request in which its failure is told.
+END_MARGIN_S = 0.01
+NOT_READY_RETRY_S = 0.5
+
+
+class Gateway:
+    """Finds the route of each request and runs it.
+
+    :param engine: Engine.
+    """
+
+    def __init__(self, engine):
+        self.configuration = None
+        self._engine = engine
+        self._splits = {}
+
+    def adopt(self, configuration):
+        """Put a configuration in force; requests keep theirs."""
+        self.configuration = configuration
+        self._splits = {}
+        self._engine.roster.set_services(configuration.services)
+
+    def handle(self, request, respond):
+        """Handle a request; see ``wire.server.Handler``."""
+        dialect = self._engine.dialect
+        call = dialect.read_call(request)
+        if call is None:
+            respond(dialect.make_refusal(400))
+            return None
+        if self.configuration is None:
+            self._refuse(call, respond, 503, 'no configuration')
+            return None
+        route = self.configuration.table.find(call.host, call.path)
+        if route is None:
+            self._refuse(call, respond, 404, 'no route')
+            return None
+        return self._run(call, route, respond)
+
+    def _run(self, call, route, respond):
+        engine = self._engine
+        version = self.configuration.version
+        allowed_s = route.timeout_s
+        if call.allowed_s is not None:
+            allowed_s = min(allowed_s, call.allowed_s)
+        end_at = call.received_at + allowed_s - END_MARGIN_S
+        elapsed_s = engine.pace(route).elapsed(call.allowed_s)
+
+        def end(reply, outcome):
+            self._note(call, route, version, outcome, running)
+            respond(reply)
+
+        if route.shape is routes.Shape.ALL:
+            objective_at = call.received_at + route.objective_s - elapsed_s
+            running = gather.Gather(
+                engine, call, route, objective_at, end_at, end
+            )
+        else:
+            service = self._choose_service(route)
+            running = single.Single(engine, call, route, service, end_at, end)
+        running.start()
+        return running
+
+    def _choose_service(self, route):
+        if route.shape is routes.Shape.ONE:
+            return route.shares[0].service
+        found = self._splits.get(route.name)
+        if found is None:
+            found = split.SmoothSplit(route.shares)
+            self._splits[route.name] = found
+        return found.choose()
+
+    def _note(self, call, route, version, outcome, running):
+        now = self._engine.now()
+        seconds = now - call.received_at
+        metrics = self._engine.metrics
+        metrics.count('requests', outcome=outcome, shape=route.shape.value)
+        metrics.observe('request_seconds', seconds, shape=route.shape.value)
+        self._engine.log.event(
+            f'request.{outcome}',
+            call.id.decode('latin-1'),
+            route=route.name,
+            version=version,
+            after_s=round(seconds, 4),
+            **running.detail,
+        )
+
+    def _refuse(self, call, respond, status, reason):
+        retry_s = NOT_READY_RETRY_S if status == 503 else None
+        self._engine.metrics.count('requests', outcome='refused', shape='none')
+        self._engine.log.event(
+            'request.refused',
+            call.id.decode('latin-1'),
+            status=status,
+            reason=reason,
+            host=call.host,
+            path=call.path,
+        )
+        respond(self._engine.dialect.make_refusal(status, retry_s))
--- /dev/null
+++ b/savorycross/gateway/instance.py
@@ -0,0 +1,255 @@
+"""The composition root of an instance on the operators' platform."""
+
+import random
+import signal
+import time
+
+import trio
+
+from savorycross.discovery import follower as followers
+from savorycross.discovery import mirror as mirrors
+from savorycross.events import log as logs
+from savorycross.fleet import announcer as announcers
+from savorycross.fleet import beacon as beacons
+from savorycross.fleet import entry
+from savorycross.fleet import exchange
+from savorycross.fleet import heartbeat
+from savorycross.fleet import peers as peers_module
+from savorycross.forward import engine as engines
+from savorycross.forward import picker
+from savorycross.forward import roster as rosters
+from savorycross.gateway import gateway as gateways
+from savorycross.gateway import state as states
+from savorycross.metrics import registry
+from savorycross.wire import pool
+from savorycross.wire import server
+from savorycross.wire import timers as timers_module
+
+PRUNE_INTERVAL_S = 0.5
+# Clocks that disagree by more than this show that the machine stood still.
+FREEZE_S = 0.3
+# Part of the grace time that is left when the instance ends anyway.
+STOP_MARGIN_S = 0.5
+# Callers keep an entry answer up to this many times its time.
+KEEP_FACTOR = 3.5
+
+
+class Instance:
+    """One instance: its listeners, its view of the store, its targets.
+
+    :param site: Site.
+    :param adapter: module with the names and calls of the outside; see
+        ``platform.adapter``.
+    :param read_site: callable that returns the Site anew.
+    """
+
+    def __init__(self, site, adapter, read_site, nursery):
+        self._site = site
+        self._adapter = adapter
+        self._read_site = read_site
+        self._nursery = nursery
+        self.log = logs.EventLog(site.name, trio.current_time)
+        self.metrics = registry.Registry()
+        self._timers = timers_module.Timers()
+        self._make_forwarding()
+        self._make_discovery()
+        self._make_fleet()
+        self._make_servers()
+        self._is_stopping = False
+
+    def _make_forwarding(self):
+        site = self._site
+        self._roster = rosters.Roster(
+            lambda address: pool.Pool(address, self._nursery), self.log
+        )
+        self._engine = engines.Engine(
+            site,
+            self._adapter.make_dialect(),
+            self._roster,
+            picker.Picker(site.data_centre, random.Random()),
+            self._timers,
+            self.log,
+            self.metrics,
+        )
+        self._gateway = gateways.Gateway(self._engine)
+
+    def _make_discovery(self):
+        self._state = states.StoreState(
+            self._adapter.keys,
+            self._adapter.decode_configuration,
+            self._gateway,
+            self._roster,
+            self.log,
+            self.metrics,
+            trio.current_time,
+        )
+        self._state.on_peer = self._on_peer_item
+        self._mirror = mirrors.Mirror(self._state.change)
+        self._store = self._adapter.make_store(
+            self._site.store_address, self._nursery
+        )
+        self._follower = followers.Follower(
+            self._store, self._mirror, self.log, self._on_synced
+        )
+
+    def _make_fleet(self):
+        site = self._site
+        self._own = heartbeat.Peer(
+            site.name,
+            int(time.time() * 1000),
+            site.data_centre,
+            site.peer_address,
+            site.caller_address,
+        )
+        self._peers = peers_module.Peers(self._own, self.log)
+        self._directory = entry.Directory(self._own, self._peers)
+        self._beacon = beacons.Beacon(
+            self._peers, site.seeds, self._describe, self.metrics
+        )
+        self._own_key = self._adapter.keys.instance_key(site.name)
+        self._announcer = announcers.Announcer(
+            self._store, self._own_key, self._own, self.log
+        )
+        self._exchange = exchange.Exchange(
+            self._mirror,
+            self._follower,
+            self._peers,
+            self.log,
+            self._on_synced,
+            self._nursery,
+        )
+
+    def _make_servers(self):
+        adapter = self._adapter
+        site = self._site
+        handlers = {
+            site.caller_address: self._gateway.handle,
+            site.ready_address: adapter.make_ready_handler(self._directory),
+            site.entry_address: adapter.make_directory_handler(
+                self._directory, site.keep_s
+            ),
+            site.peer_address: exchange.make_handler(self._mirror),
+        }
+        self._servers = {
+            address: server.Server(handle, self._nursery, self._count_rejected)
+            for address, handle in handlers.items()
+        }
+        self._callers = self._servers[site.caller_address]
+
+    async def run(self):
+        """Serve until the stop signal, then until the callers are gone."""
+        self.log.event(
+            'instance.started',
+            data_centre=self._site.data_centre,
+            seeds=len(self._site.seeds),
+            is_first_start=self._site.is_first_start,
+            cpu_s=round(time.process_time(), 3),
+        )
+        start = self._nursery.start_soon
+        start(self._timers.run)
+        for address, found in self._servers.items():
+            start(found.run, address)
+        start(self._beacon.run)
+        start(self._follower.run)
+        start(self._announcer.run)
+        start(self._exchange.run)
+        start(self._look_after)
+        await self._take_signals()
+
+    def _describe(self):
+        return {
+            'is_ready': self._directory.is_ready,
+            'is_leaving': self._is_stopping,
+            'revision': self._mirror.revision,
+            'has_store': self._follower.is_connected,
+        }
+
+    def _on_synced(self):
+        configuration = self._gateway.configuration
+        if configuration is None:
+            return
+        self._callers.limits = configuration.limits
+        if not self._is_stopping and not self._directory.is_ready:
+            self._directory.is_ready = True
+            self.log.event('instance.ready', version=configuration.version)
+
+    def _on_peer_item(self, key, item):
+        if key == self._own_key:
+            if item is None and not self._is_stopping:
+                self._announcer.note_removed()
+            return
+        if item is None:
+            return
+        try:
+            peer = heartbeat.decode_peer(item.value)
+        except ValueError as exc:
+            self.log.event('instance.invalid', key=key, reason=str(exc))
+            return
+        self._peers.learn(peer, trio.current_time())
+
+    def _count_rejected(self, status):
+        self.metrics.count('rejected', status=status)
+        self.log.event('request.rejected', status=status)
+
+    async def _look_after(self):
+        """Prune connections, share limits, notice that time stood still."""
+        offset = _clock_offset()
+        while True:
+            await trio.sleep(PRUNE_INTERVAL_S)
+            now = trio.current_time()
+            self._roster.prune(now)
+            self._engine.set_instances(self._peers.count(now))
+            found = _clock_offset()
+            if found - offset > FREEZE_S:
+                self.log.event('instance.woke', stood_s=found - offset)
+                self._roster.drop_idle()
+                self._follower.restart()
+            offset = found
+
+    async def _take_signals(self):
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*signals) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    break
+                self._reload()
+            await self._stop()
+
+    def _reload(self):
+        try:
+            found = self._read_site()
+        except self._adapter.SettingsError as exc:
+            self.log.event('settings.invalid', reason=exc.message)
+            return
+        self.log.event('settings.reloaded', changed=found != self._site)
+
+    async def _stop(self):
+        """Leave the directory, serve what still comes, then end."""
+        started_at = trio.current_time()
+        self._is_stopping = True
+        self._directory.is_ready = False
+        for found in self._servers.values():
+            found.is_stopping = True
+        self.log.event('instance.stopping', busy=self._callers.busy)
+        await self._beacon.send()
+        self._nursery.start_soon(self._announcer.withdraw)
+        quiet_at = started_at + KEEP_FACTOR * self._site.keep_s
+        end_at = started_at + self._site.grace_s - STOP_MARGIN_S
+        while (now := trio.current_time()) < end_at:
+            if now >= quiet_at and not self._callers.busy:
+                break
+            await trio.sleep(0.05)
+        self.log.event('instance.stopped', cut=self._callers.busy)
+
+
+def _clock_offset():
+    """Return how long the machine has stood still since its start."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
+
+async def serve(site, adapter, read_site):
+    """Run an instance until it is told to stop."""
+    async with trio.open_nursery() as nursery:
+        found = Instance(site, adapter, read_site, nursery)
+        await found.run()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/savorycross/gateway/site.py
@@ -0,0 +1,59 @@
+"""Where an instance runs and what binds it."""
+
+import dataclasses
+
+# Time for which callers keep the entry answer. Short, so that they soon
+# miss an instance that ended.
+ENTRY_KEEP_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtraLimits:
+    """Bound on sends beyond the first, over all instances.
+
+    :param ratio: extra sends by requests in any window.
+    :param slack: extra sends on top, in any window.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimits:
+    """Bound on sends to a cold target in any second, over all instances.
+
+    :param overage: multiple of the rate that the target bears.
+    :param slack: requests on top.
+    """
+
+    overage: float
+    slack: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """Settings of an instance that follows an operators' store.
+
+    :param entry_address: where callers ask which instances to use.
+    :param peer_address: UDP and TCP address for other instances.
+    :param seeds: peer addresses of other instances, maybe stale.
+    :param is_first_start: whether the whole system starts anew.
+    :param grace_s: seconds from the stop signal to the end.
+    :param keep_s: seconds for which callers keep the entry answer.
+    """
+
+    name: str
+    data_centre: str
+    caller_address: tuple[str, int]
+    ready_address: tuple[str, int]
+    entry_address: tuple[str, int]
+    peer_address: tuple[str, int]
+    store_address: tuple[str, int]
+    seeds: tuple[tuple[str, int], ...]
+    is_first_start: bool
+    grace_s: float
+    keep_s: float
+    extra: ExtraLimits
+    cold: ColdLimits
--- /dev/null
+++ b/savorycross/platform/adapter.py
@@ -0,0 +1,25 @@
+"""All that an instance needs to know of the platform."""
+
+from savorycross import errors
+from savorycross.platform import configuration
+from savorycross.platform import dialect
+from savorycross.platform import entry
+from savorycross.platform import keys
+from savorycross.platform import store
+
+__all__ = [
+    'SettingsError',
+    'decode_configuration',
+    'keys',
+    'make_dialect',
+    'make_directory_handler',
+    'make_ready_handler',
+    'make_store',
+]
+
+SettingsError = errors.SettingsError
+decode_configuration = configuration.decode_configuration
+make_dialect = dialect.PlatformDialect
+make_directory_handler = entry.make_directory_handler
+make_ready_handler = entry.make_ready_handler
+make_store = store.PlatformStore
--- /dev/null
+++ b/savorycross/platform/settings.py
@@ -0,0 +1,99 @@
+"""Reads the settings file of the platform."""
+
+import os
+import tomllib
+
+import msgspec
+
+from savorycross import errors
+from savorycross.gateway import site
+
+PATH_VARIABLE = 'SAVORYCROSS_SETTINGS'
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    drain_ms: int = 3000
+    grace_s: float = 6.0
+    ttl_max_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str
+    ready: str
+    directory: str
+    control: str = ''
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    addr: str
+
+
+class _Settings(msgspec.Struct, frozen=True):
+    node: str
+    ip: str
+    # The wire's zone is a data centre.
+    zone: str
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    platform: _Platform
+    bounds: _Bounds = _Bounds()
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
+
+
+def read_site(path=None):
+    """Return the Site in a settings file.
+
+    :param path: the file; by default the one that the environment names.
+    :raises SettingsError: naming the field that is missing or wrong.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        raise errors.SettingsError(f'{PATH_VARIABLE} names no file')
+    try:
+        with open(path, 'rb') as file:
+            found = msgspec.convert(tomllib.load(file), _Settings)
+    except (OSError, ValueError) as exc:
+        # Errors of tomllib and msgspec are value errors.
+        raise errors.SettingsError(f'{path}: {exc}') from exc
+    return _to_site(found)
+
+
+def _to_site(found):
+    bounds = found.bounds
+    return site.Site(
+        name=found.node,
+        data_centre=found.zone,
+        caller_address=parse_address(found.listen.front),
+        ready_address=parse_address(found.listen.ready),
+        entry_address=parse_address(found.listen.directory),
+        peer_address=(found.ip, found.internal_ports[0]),
+        store_address=parse_address(found.platform.addr),
+        seeds=tuple(
+            (parse_address(seed)[0], found.internal_ports[0])
+            for seed in found.seeds
+        ),
+        is_first_start=found.bootstrap,
+        grace_s=bounds.grace_s,
+        keep_s=min(site.ENTRY_KEEP_S, bounds.ttl_max_s),
+        extra=site.ExtraLimits(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        ),
+        cold=site.ColdLimits(bounds.cold_overage, bounds.cold_slack),
+    )
+
+
+def parse_address(text):
+    """Return the host and port in a text.
+
+    :raises SettingsError: if there is no port.
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise errors.SettingsError(f'address {text!r} has no port')
+    return host, int(port)
--- /dev/null
+++ b/savorycross/route/__init__.py
@@ -0,0 +1,1 @@
+"""Which services a request goes to."""
--- /dev/null
+++ b/savorycross/route/split.py
@@ -0,0 +1,23 @@
+"""Spreads requests over services by weight."""
+
+
+class SmoothSplit:
+    """Smooth weighted round robin.
+
+    Source of the algorithm: the upstream balancer of nginx, 2012.
+
+    :param shares: Share objects with weights above 0.
+    """
+
+    def __init__(self, shares):
+        self._shares = [s for s in shares if s.weight > 0] or list(shares)
+        self._credit = [0.0] * len(self._shares)
+        self._total = sum(s.weight for s in self._shares)
+
+    def choose(self):
+        """Return the name of the next service."""
+        for i, share in enumerate(self._shares):
+            self._credit[i] += share.weight
+        best = max(range(len(self._shares)), key=self._credit.__getitem__)
+        self._credit[best] -= self._total
+        return self._shares[best].service
--- /dev/null
+++ b/savorycross/wire/messages.py
@@ -0,0 +1,118 @@
+"""HTTP requests and replies as values."""
+
+import dataclasses
+
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+REASONS = {
+    100: b'Continue',
+    200: b'OK',
+    400: b'Bad Request',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    421: b'Misdirected Request',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A complete request.
+
+    :param target: path and query as they were sent.
+    :param headers: pairs of name and value in their order; names keep
+        their case.
+    :param received_at: runtime clock time in seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes = b''
+    keep_alive: bool = True
+    received_at: float = 0.0
+
+    def header(self, name):
+        """Return the first value of a header, or None.
+
+        :param name: lower-case name.
+
+        >>> Request(b'GET', b'/', ((b'Host', b'a'),)).header(b'host')
+        b'a'
+        """
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A complete reply.
+
+    :param headers: pairs of name and value.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b''
+
+    def header(self, name):
+        """Return the first value of a header, or None.
+
+        :param name: lower-case name.
+        """
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return None
+
+
+def encode_request(method, target, headers, body=b''):
+    """Return a request as bytes, with the length of its body if any."""
+    lines = [method + b' ' + target + b' HTTP/1.1']
+    lines += [name + b': ' + value for name, value in headers]
+    if body or method not in (b'GET', b'HEAD', b'DELETE'):
+        lines.append(b'Content-Length: %d' % len(body))
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
+
+def encode_reply(reply, keep_alive, with_body=True):
+    """Return a reply as bytes; hop-by-hop headers are written anew.
+
+    :param with_body: False for the reply to a HEAD request.
+
+    >>> encode_reply(Reply(200, body=b'ab'), keep_alive=True)
+    b'HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nab'
+    """
+    reason = REASONS.get(reply.status, b'Unknown')
+    lines = [b'HTTP/1.1 %d %s' % (reply.status, reason)]
+    lines += [
+        name + b': ' + value
+        for name, value in reply.headers
+        if name.lower() not in HOP_BY_HOP
+    ]
+    if reply.status != 204 and reply.status != 304:
+        lines.append(b'Content-Length: %d' % len(reply.body))
+    if not keep_alive:
+        lines.append(b'Connection: close')
+    head = b'\r\n'.join(lines) + b'\r\n\r\n'
+    return head + reply.body if with_body else head
--- /dev/null
+++ b/savorycross/wire/outbound.py
@@ -0,0 +1,221 @@
+"""The side of a connection that sends requests."""
+
+import math
+import re
+import typing
+
+import httptools
+import trio
+
+from savorycross.wire import messages
+from savorycross.wire import transport as transports
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Idle time of a connection whose peer names none.
+DEFAULT_IDLE_S = 4.0
+# A request must reach the peer before its idle time ends.
+IDLE_MARGIN_S = 0.5
+
+_KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
+
+
+class Exchange(typing.Protocol):
+    """A request and what becomes of it."""
+
+    data: bytes
+    is_head: bool
+
+    def accepts(self, reply) -> bool:
+        """Tell whether a reply belongs to the request."""
+
+    def on_reply(self, reply) -> None:
+        """Take the reply."""
+
+    def on_lost(self, was_sent, reason) -> None:
+        """Take the end of the connection before a reply.
+
+        :param was_sent: whether any byte of the request was written.
+        """
+
+
+class Connection:
+    """Carries one exchange at a time.
+
+    A reply of another request is dropped; the connection then ends after
+    its exchange. Bytes outside of a reply end it at once.
+
+    :param address: host and port of the peer.
+    :param nursery: nursery for its tasks.
+    :param on_idle: called with the connection when it can be used again.
+    :param on_closed: called with the connection when it has ended.
+    """
+
+    def __init__(self, address, nursery, on_idle, on_closed):
+        self.address = address
+        self.idle_until = math.inf
+        self._nursery = nursery
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._exchange = None
+        self._transport = None
+        self._was_sent = False
+        self._is_spent = False
+        self._closed = False
+        self._scope = trio.CancelScope()
+        self._new_parser()
+
+    def start(self, exchange):
+        """Send a request, once connected."""
+        self._exchange = exchange
+        if self._transport is not None:
+            self._send()
+
+    def close(self):
+        """End the connection; its exchange hears nothing more."""
+        self._exchange = None
+        self._closed = True
+        self._scope.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    async def run(self):
+        """Connect and read replies until the connection ends."""
+        reason = 'closed'
+        try:
+            with self._scope:
+                reason = await self._connect_and_read()
+        finally:
+            if self._transport is not None:
+                self._transport.close()
+            self._on_closed(self)
+            exchange, self._exchange = self._exchange, None
+            if exchange is not None:
+                exchange.on_lost(self._was_sent, reason)
+
+    async def _connect_and_read(self):
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                self._transport = await transports.connect(
+                    self.address, self._nursery
+                )
+        except trio.TooSlowError:
+            return 'connect timeout'
+        except OSError as exc:
+            return f'connect: {exc.strerror or exc}'
+        if self._closed:
+            return 'closed'
+        if self._exchange is None:
+            self._on_idle(self)
+        else:
+            self._send()
+        try:
+            return await self._read()
+        except (OSError, trio.ClosedResourceError):
+            return 'reset'
+        except httptools.HttpParserError:
+            return 'no valid reply'
+
+    def _send(self):
+        self._was_sent = True
+        self.idle_until = math.inf
+        self._transport.write(self._exchange.data)
+
+    async def _read(self):
+        while True:
+            data = await self._transport.read()
+            if not data:
+                return self._finish()
+            if self._exchange is None:
+                return 'bytes without a request'
+            self._parser.feed_data(data)
+            if self._is_spent and self._exchange is None:
+                return 'spent'
+
+    def _finish(self):
+        """Complete a reply that ends with its connection."""
+        if self._has_head and not self._has_length:
+            self._is_spent = True
+            self._complete()
+        return 'end of stream'
+
+    def _new_parser(self):
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    def _reset(self):
+        self._headers = []
+        self._chunks = []
+        self._size = 0
+        self._has_head = False
+        self._has_length = False
+
+    def on_message_begin(self):
+        """Note that a reply begins."""
+        if self._exchange is None:
+            self._is_spent = True
+        self._reset()
+
+    def on_header(self, name, value):
+        """Take a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Note whether the reply says where it ends."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._has_head = True
+        self._has_length = status in (204, 304) or any(
+            name.lower() in (b'content-length', b'transfer-encoding')
+            for name, _ in self._headers
+        )
+        if self._exchange is not None and self._exchange.is_head:
+            self._is_spent = True
+            self._complete()
+
+    def on_body(self, body):
+        """Take a piece of the body."""
+        self._size += len(body)
+        if self._size > MAX_BODY_BYTES:
+            raise httptools.HttpParserError('reply is too long')
+        self._chunks.append(body)
+
+    def on_message_complete(self):
+        """Hand over a complete reply."""
+        if self._parser.get_status_code() < 200:
+            self._reset()
+            return
+        if not self._parser.should_keep_alive():
+            self._is_spent = True
+        self._complete()
+
+    def _complete(self):
+        exchange = self._exchange
+        self._has_head = False
+        if exchange is None:
+            return
+        reply = messages.Reply(
+            self._parser.get_status_code(),
+            tuple(self._headers),
+            b''.join(self._chunks),
+        )
+        if not exchange.accepts(reply):
+            self._is_spent = True
+            return
+        self._exchange = None
+        self._was_sent = False
+        if not self._is_spent and not self._transport.has_pending:
+            self.idle_until = trio.current_time() + _idle_time(reply)
+            self._on_idle(self)
+        else:
+            self._is_spent = True
+        exchange.on_reply(reply)
+
+
+def _idle_time(reply):
+    value = reply.header(b'keep-alive')
+    found = _KEEP_ALIVE.search(value) if value is not None else None
+    if found is None:
+        return DEFAULT_IDLE_S
+    return int(found[1]) - IDLE_MARGIN_S
--- /dev/null
+++ b/savorycross/wire/transport.py
@@ -0,0 +1,121 @@
+"""A connected socket with buffered writes."""
+
+import socket
+
+import trio
+
+RECEIVE_BYTES = 65536
+# Keep-alive probes end a connection whose peer vanished without a reset.
+KEEPALIVE_IDLE_S = 3
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Unacknowledged bytes end a connection after this time.
+USER_TIMEOUT_MS = 4000
+
+
+class Transport:
+    """A connected stream socket.
+
+    Writes never wait: what the socket does not take at once is sent by a
+    task of the nursery.
+
+    :param sock: connected standard library socket.
+    :param nursery: nursery for the task that flushes.
+    """
+
+    def __init__(self, sock, nursery):
+        sock.setblocking(False)
+        _set_options(sock)
+        self._sock = sock
+        self._nursery = nursery
+        self._pending = bytearray()
+        self.is_open = True
+
+    @property
+    def has_pending(self):
+        """Whether written bytes wait for the socket."""
+        return bool(self._pending)
+
+    def write(self, data):
+        """Write bytes; a broken connection shows when it is read."""
+        if not self.is_open:
+            return
+        if self._pending:
+            self._pending += data
+            return
+        try:
+            n = self._sock.send(data)
+        except BlockingIOError:
+            n = 0
+        except OSError:
+            return
+        if n < len(data):
+            self._pending += data[n:]
+            self._nursery.start_soon(self._flush)
+
+    async def read(self):
+        """Return the next bytes, or none at the end of the stream.
+
+        :raises OSError: if the connection broke.
+        :raises trio.ClosedResourceError: if this side closed it.
+        """
+        while True:
+            if not self.is_open:
+                raise trio.ClosedResourceError
+            await trio.lowlevel.wait_readable(self._sock)
+            try:
+                return self._sock.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
+    def close(self):
+        """Close the socket; a task that reads from it ends."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        trio.lowlevel.notify_closing(self._sock)
+        self._sock.close()
+
+    async def _flush(self):
+        try:
+            while self._pending and self.is_open:
+                await trio.lowlevel.wait_writable(self._sock)
+                n = self._sock.send(self._pending)
+                del self._pending[:n]
+        except (OSError, trio.ClosedResourceError):
+            self._pending.clear()
+
+
+async def connect(address, nursery):
+    """Return a Transport connected to an address.
+
+    :param address: host and port.
+    :raises OSError: if the connection cannot be made.
+    """
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    return Transport(detach(sock), nursery)
+
+
+def detach(sock):
+    """Return a trio socket as a standard library socket."""
+    return socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, sock.detach())
+
+
+def _set_options(sock):
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    if sock.family != socket.AF_INET:
+        return
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
