Send few and small heartbeats between data centres

Change: neighbours hear each other; between data centres 1.5 messages an interval carry ages of the sender's neighbours (gossip). Ruled out: queries, which are a tenth of it.

--- a/savorycross/fleet/beacon.py
+++ b/savorycross/fleet/beacon.py
@@ -14,16 +14,18 @@
     """The task that owns the heartbeat socket.
 
     :param peers: Peers.
-    :param seeds: addresses that get heartbeats while few peers are known.
+    :param seeds: addresses that get heartbeats while no peer is known.
     :param describe: callable that returns the fields of a Heartbeat that
         this instance knows of itself, by name.
+    :param rng: random.Random.
     :param metrics: Registry.
     """
 
-    def __init__(self, peers, seeds, describe, metrics):
+    def __init__(self, peers, seeds, describe, rng, metrics):
         self._peers = peers
-        self._seeds = seeds
+        self._seeds = [s for s in seeds if s != peers.own.address]
         self._describe = describe
+        self._rng = rng
         self._metrics = metrics
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
@@ -33,34 +35,51 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
             while True:
+                self._peers.tick(trio.current_time())
                 await self.send()
                 await trio.sleep(peers_module.HEARTBEAT_INTERVAL_S)
 
-    async def send(self):
-        """Send one heartbeat to each peer."""
+    async def send(self, to_all=False):
+        """Send heartbeats to neighbours and some remote peers.
+
+        :param to_all: whether each other data centre gets one for sure.
+        """
+        near = self._peers.neighbours()
+        remotes = self._peers.remotes()
+        share = peers_module.REMOTE_MESSAGES / (len(near) + 1)
+        far = [
+            self._rng.choice(addresses)
+            for addresses in remotes
+            if to_all or self._rng.random() < share
+        ]
+        if not near and not remotes:
+            far = self._seeds
         now = trio.current_time()
-        self._peers.tick(now)
-        data = heartbeat.encode(
-            heartbeat.Heartbeat(
-                format=heartbeat.FORMAT,
-                sender=self._peers.own,
-                heard=self._peers.heard(now),
-                known=self._peers.known(),
-                **self._describe(),
-            )
+        for address in near:
+            await self._send_one(address, self._peers.rows(now, False))
+        rows = self._peers.rows(now, True)
+        for address in {*far, *self._peers.pending_addresses()}:
+            await self._send_one(address, rows)
+
+    async def _send_one(self, address, rows):
+        address = tuple(address)
+        found = heartbeat.Heartbeat(
+            format=heartbeat.FORMAT,
+            sender=self._peers.own.id,
+            rows=rows,
+            asked=self._peers.take_questions(address),
+            peers=self._peers.take_answers(address),
+            **self._describe(),
         )
-        to = dict.fromkeys([*self._peers.addresses(), *self._seeds])
-        to.pop(self._peers.own.address, None)
-        for address in to:
-            try:
-                await self._socket.sendto(data, tuple(address))
-            except OSError:
-                self._metrics.count('heartbeat_send_errors')
+        try:
+            await self._socket.sendto(heartbeat.encode(found), address)
+        except OSError:
+            self._metrics.count('heartbeat_send_errors')
 
     async def _receive(self):
         while True:
             try:
-                data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                data, address = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
                 self._metrics.count('heartbeat_receive_errors')
                 continue
@@ -69,4 +88,4 @@
             except ValueError:
                 self._metrics.count('heartbeat_invalid')
                 continue
-            self._peers.hear(found, trio.current_time())
+            self._peers.hear(found, address, trio.current_time())
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -1,9 +1,10 @@
 """What an instance tells the others."""
 
 import msgspec
+import xxhash
 
 # Version of the format; others are dropped.
-FORMAT = 1
+FORMAT = 2
 
 
 class Peer(msgspec.Struct, frozen=True, array_like=True):
@@ -21,25 +22,49 @@
     address: tuple[str, int]
     caller_address: tuple[str, int]
 
+    @property
+    def id(self):
+        """A number that names this incarnation in datagrams."""
+        return xxhash.xxh32_intdigest(f'{self.name}/{self.started_at}')
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender believes of one instance.
+
+    :param id: the ``Peer.id``.
+    :param age_ms: time since anyone heard the instance itself.
+    :param flags: READY and LEAVING.
+    """
+
+    id: int
+    age_ms: int
+    flags: int
+
+
+READY = 1
+LEAVING = 2
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """One datagram.
 
-    :param is_ready: whether the sender takes callers.
+    :param sender: the sender's ``Peer.id``.
+    :param flags: READY and LEAVING of the sender.
     :param revision: the store's revision that the sender has seen.
     :param has_store: whether the store answers the sender.
-    :param heard: names of instances that the sender hears itself.
-    :param known: some instances that the sender knows.
+    :param rows: what the sender believes of others.
+    :param asked: ids whose Peer the sender does not know.
+    :param peers: answers to ids that the receiver asked for.
     """
 
     format: int
-    sender: Peer
-    is_ready: bool
-    is_leaving: bool
+    sender: int
+    flags: int
     revision: int
     has_store: bool
-    heard: tuple[str, ...]
-    known: tuple[Peer, ...]
+    rows: tuple[Row, ...] = ()
+    asked: tuple[int, ...] = ()
+    peers: tuple[Peer, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/peers.py
+++ b/savorycross/fleet/peers.py
@@ -2,24 +2,33 @@
 
 import dataclasses
 
+from savorycross.fleet import heartbeat as heartbeats
+
 HEARTBEAT_INTERVAL_S = 0.4
 # Three heartbeats may be lost before an instance is taken for dead.
 DEAD_AFTER_S = 1.7
-# Addresses that never answer are forgotten after this time.
+# Word from other data centres comes less often.
+REMOTE_DEAD_AFTER_S = 2.6
+# Messages from one data centre to another in an interval, on average.
+REMOTE_MESSAGES = 1.5
+# Instances that are silent are forgotten after this time.
 FORGET_AFTER_S = 20.0
-MAX_TOLD_PEERS = 16
+MAX_ANSWERS = 24
 
 
 @dataclasses.dataclass(slots=True)
 class PeerState:
-    """The newest word of a peer."""
+    """The newest word of a peer.
+
+    :param heard_at: when anyone heard the peer itself, as far as known.
+    :param direct_at: when this instance heard it.
+    """
 
     peer: object
     known_at: float
     heard_at: float | None = None
-    vouched_at: float | None = None
-    is_ready: bool = False
-    is_leaving: bool = False
+    direct_at: float | None = None
+    flags: int = 0
     revision: int = 0
     has_store: bool = False
 
@@ -27,6 +36,12 @@
 class Peers:
     """Other instances, by heartbeats heard and by word of others.
 
+    Instances of one data centre hear each other; between data centres a
+    few messages carry what each believes of its own neighbours.
+
+    Source of the method: van Renesse, Minsky and Hayden, "A Gossip-Style
+    Failure Detection Service", 1998.
+
     :param own: this instance's Peer.
     :param log: EventLog.
     """
@@ -35,43 +50,55 @@
         self.own = own
         self._log = log
         self._by_name = {}
+        self._by_id = {}
         self._alive = set()
-        self._told = 0
+        self._unknown = {}
+        self._answers = {}
 
     def learn(self, peer, now):
         """Take note that a peer exists, without word from itself."""
         if peer.name == self.own.name:
             return
         known = self._by_name.get(peer.name)
-        if known is not None and known.peer.started_at >= peer.started_at:
-            return
-        self._by_name[peer.name] = PeerState(peer, now)
-
-    def hear(self, heartbeat, now):
-        """Take a heartbeat."""
-        sender = heartbeat.sender
-        if sender.name == self.own.name:
+        if known is not None:
+            if known.peer.started_at >= peer.started_at:
+                return
+            self._by_id.pop(known.peer.id, None)
+        state = PeerState(peer, now)
+        self._by_name[peer.name] = state
+        self._by_id[peer.id] = state
+        self._unknown.pop(peer.id, None)
+
+    def hear(self, heartbeat, address, now):
+        """Take a heartbeat.
+
+        :param address: address that it came from.
+        """
+        if heartbeat.sender == self.own.id:
             return
-        self.learn(sender, now)
-        state = self._by_name[sender.name]
-        if state.peer.started_at > sender.started_at:
+        for peer in heartbeat.peers:
+            self.learn(peer, now)
+        if heartbeat.asked:
+            self._answers[address] = heartbeat.asked
+        for row in heartbeat.rows:
+            self._take_row(row, address, now)
+        state = self._by_id.get(heartbeat.sender)
+        if state is None:
+            self._ask(heartbeat.sender, address)
             return
-        state.peer = sender
         state.heard_at = now
-        state.is_ready = heartbeat.is_ready
-        state.is_leaving = heartbeat.is_leaving
+        state.direct_at = now
+        state.flags = heartbeat.flags
         state.revision = heartbeat.revision
         state.has_store = heartbeat.has_store
-        for name in heartbeat.heard:
-            vouched = self._by_name.get(name)
-            if vouched is not None:
-                vouched.vouched_at = now
-        for peer in heartbeat.known:
-            self.learn(peer, now)
 
     def tick(self, now):
-        """Forget and log peers that went silent; log those that came."""
-        alive = {s.peer.name for s in self._by_name.values() if _alive(s, now)}
+        """Log peers that went silent or came; forget old ones."""
+        alive = {
+            s.peer.name
+            for s in self._by_name.values()
+            if self._is_alive(s, now)
+        }
         for name in sorted(alive - self._alive):
             self._log.event('instance.heard', peer=name)
         for name in sorted(self._alive - alive):
@@ -79,7 +106,7 @@
             self._log.event(
                 'instance.silent',
                 peer=name,
-                is_leaving=state is not None and state.is_leaving,
+                is_leaving=bool(state and state.flags & heartbeats.LEAVING),
                 heard_s_ago=_age(state, now),
             )
         self._alive = alive
@@ -87,6 +114,7 @@
             last = max(state.known_at, state.heard_at or 0.0)
             if now - last > FORGET_AFTER_S:
                 del self._by_name[name]
+                self._by_id.pop(state.peer.id, None)
 
     def count(self, now):
         """Return how many instances may be sending, this one included."""
@@ -97,58 +125,97 @@
         return recent + 1
 
     def serving(self, now):
-        """Return the PeerStates of others that take callers."""
+        """Return the Peers of others that take callers."""
         return [
-            s
+            s.peer
             for s in self._by_name.values()
-            if s.is_ready and not s.is_leaving and _alive(s, now)
+            if s.flags == heartbeats.READY and self._is_alive(s, now)
         ]
 
     def fresher(self, revision, now):
-        """Return the live peer that has seen most of the store, or None.
+        """Return the live PeerState that has seen most of the store.
 
         :param revision: the store's revision that this instance has seen.
+        :returns: None if no peer has seen more.
         """
         ahead = [
             s
             for s in self._by_name.values()
-            if s.revision > revision and _heard(s, now)
+            if s.revision > revision
+            and s.direct_at is not None
+            and now - s.direct_at < REMOTE_DEAD_AFTER_S
         ]
         return max(ahead, key=lambda s: s.revision, default=None)
 
-    def addresses(self):
-        """Return the addresses to send heartbeats to."""
-        return [s.peer.address for s in self._by_name.values()]
+    def neighbours(self):
+        """Return the addresses of peers in this data centre."""
+        return [
+            s.peer.address
+            for s in self._by_name.values()
+            if s.peer.data_centre == self.own.data_centre
+        ]
 
-    def heard(self, now):
-        """Return the names of peers heard directly."""
+    def remotes(self):
+        """Return lists of addresses, one for each other data centre."""
+        found = {}
+        for state in self._by_name.values():
+            peer = state.peer
+            if peer.data_centre != self.own.data_centre:
+                found.setdefault(peer.data_centre, []).append(peer.address)
+        return list(found.values())
+
+    def rows(self, now, is_remote):
+        """Return the Rows of a heartbeat.
+
+        :param is_remote: whether it goes to another data centre, which
+            hears of this instance's neighbours only.
+        """
         return tuple(
-            s.peer.name for s in self._by_name.values() if _heard(s, now)
+            heartbeats.Row(s.peer.id, int((now - s.heard_at) * 1000), s.flags)
+            for s in self._by_name.values()
+            if s.heard_at is not None
+            and now - s.heard_at < 2 * REMOTE_DEAD_AFTER_S
+            and not (is_remote and s.peer.data_centre != self.own.data_centre)
         )
 
-    def known(self):
-        """Return some Peers to tell others of, in turn."""
-        states = list(self._by_name.values())
-        if len(states) <= MAX_TOLD_PEERS:
-            return tuple(s.peer for s in states)
-        self._told = (self._told + MAX_TOLD_PEERS) % len(states)
-        states = states[self._told :] + states[: self._told]
-        return tuple(s.peer for s in states[:MAX_TOLD_PEERS])
-
-
-def _heard(state, now):
-    return state.heard_at is not None and now - state.heard_at < DEAD_AFTER_S
-
-
-def _alive(state, now):
-    if _heard(state, now):
-        return True
-    vouched_at = state.vouched_at
-    return (
-        state.heard_at is not None
-        and vouched_at is not None
-        and now - vouched_at < DEAD_AFTER_S
-    )
+    def take_questions(self, address):
+        """Return the ids to ask of an address."""
+        return tuple(id_ for id_, at in self._unknown.items() if at == address)
+
+    def take_answers(self, address):
+        """Return the Peers that an address asked for."""
+        asked = self._answers.pop(address, ())
+        found = [self.own] if self.own.id in asked else []
+        found += [self._by_id[i].peer for i in asked if i in self._by_id]
+        return tuple(found[:MAX_ANSWERS])
+
+    def pending_addresses(self):
+        """Return the addresses that are to be asked or answered."""
+        return {*self._answers, *self._unknown.values()}
+
+    def _take_row(self, row, address, now):
+        if row.id == self.own.id:
+            return
+        state = self._by_id.get(row.id)
+        if state is None:
+            if row.age_ms < DEAD_AFTER_S * 1000:
+                self._ask(row.id, address)
+            return
+        heard_at = now - row.age_ms / 1000
+        if state.heard_at is None or heard_at > state.heard_at:
+            state.heard_at = heard_at
+            state.flags = row.flags
+
+    def _ask(self, id_, address):
+        if len(self._unknown) < MAX_ANSWERS:
+            self._unknown[id_] = address
+
+    def _is_alive(self, state, now):
+        if state.heard_at is None:
+            return False
+        is_near = state.peer.data_centre == self.own.data_centre
+        limit = DEAD_AFTER_S if is_near else REMOTE_DEAD_AFTER_S
+        return now - state.heard_at < limit
 
 
 def _age(state, now):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -50,6 +50,7 @@
         self._nursery = nursery
         self.log = logs.EventLog(site.name, trio.current_time)
         self.metrics = registry.Registry()
+        self._rng = random.Random()
         self._timers = timers_module.Timers()
         self._make_forwarding()
         self._make_discovery()
@@ -66,7 +67,7 @@
             site,
             self._adapter.make_dialect(),
             self._roster,
-            picker.Picker(site.data_centre, random.Random()),
+            picker.Picker(site.data_centre, self._rng),
             self._timers,
             self.log,
             self.metrics,
@@ -104,7 +105,7 @@
         self._peers = peers_module.Peers(self._own, self.log)
         self._directory = entry.Directory(self._own, self._peers)
         self._beacon = beacons.Beacon(
-            self._peers, site.seeds, self._describe, self.metrics
+            self._peers, site.seeds, self._describe, self._rng, self.metrics
         )
         self._own_key = self._adapter.keys.instance_key(site.name)
         self._announcer = announcers.Announcer(
@@ -158,8 +159,8 @@
 
     def _describe(self):
         return {
-            'is_ready': self._directory.is_ready,
-            'is_leaving': self._is_stopping,
+            'flags': self._directory.is_ready * heartbeat.READY
+            | self._is_stopping * heartbeat.LEAVING,
             'revision': self._mirror.revision,
             'has_store': self._follower.is_connected,
         }
@@ -231,7 +232,7 @@
         for found in self._servers.values():
             found.is_stopping = True
         self.log.event('instance.stopping', busy=self._callers.busy)
-        await self._beacon.send()
+        await self._beacon.send(to_all=True)
         self._nursery.start_soon(self._announcer.withdraw)
         quiet_at = started_at + KEEP_FACTOR * self._site.keep_s
         end_at = started_at + self._site.grace_s - STOP_MARGIN_S
