--- a/savorycross/fleet/entry.py
+++ b/savorycross/fleet/entry.py
@@ -25,4 +25,4 @@
         if self.is_ready:
             found.append(self._own)
         near = [p for p in found if p.data_centre == data_centre]
-        return [p.caller_address for p in near or found]
+        return [p.caller_address for p in found]
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -2,7 +2,7 @@
 
 # What a target in another data centre must be faster by, in units of the
 # usual latency.
-REMOTE_COST = 0.6
+REMOTE_COST = 1.5
 # Large services are sampled: one's own data centre first, then others.
 MAX_CANDIDATES = 6
 
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -1,8 +1,11 @@
 """What this instance believes of a target."""
 
 EWMA_WEIGHT = 0.15
+# What was measured before weighs half after this time, however few samples
+# there are.
+HALF_LIFE_S = 1.0
 # A measured slowness is halved toward the usual after this time unused.
-FORGET_S = 2.0
+FORGET_S = 3.0
 # Failures in a row after which a target is left out.
 MAX_FAILURES = 2
 EJECT_FIRST_S = 0.5
@@ -61,7 +64,9 @@
         """Add a measured latency by the usual one."""
         current = self.slowness(now)
         ratio = min(ratio, MAX_SLOWNESS)
-        self._slowness = current + EWMA_WEIGHT * (ratio - current)
+        faded = 1.0 - 0.5 ** ((now - self._sampled_at) / HALF_LIFE_S)
+        weight = max(EWMA_WEIGHT, faded)
+        self._slowness = current + weight * (ratio - current)
         self._sampled_at = now
 
     def succeed(self):
