Mend parts replaced by late failures, full pools, incomplete copies

Ruled out: confusion of request ids (the part was a 500 of the same request); overload (targets were free). Change: one guard each; hedges go out at 2.5 medians at most. Each has a test that failed first.

--- a/savorycross/fleet/entry.py
+++ b/savorycross/fleet/entry.py
@@ -13,16 +13,9 @@
         self._peers = peers
         self.is_ready = False
 
-    def addresses(self, data_centre, now):
-        """Return host and port pairs of instances that take callers.
-
-        Instances in the caller's data centre are named alone if there are
-        any, as each of them knows targets nearby.
-
-        :param data_centre: the caller's data centre.
-        """
-        found = self._peers.serving(now)
+    def addresses(self, now):
+        """Return host and port pairs of instances that take callers."""
+        found = [p.caller_address for p in self._peers.serving(now)]
         if self.is_ready:
-            found.append(self._own)
-        near = [p for p in found if p.data_centre == data_centre]
-        return [p.caller_address for p in found]
+            found.append(self._own.caller_address)
+        return found
--- a/savorycross/fleet/exchange.py
+++ b/savorycross/fleet/exchange.py
@@ -99,7 +99,8 @@
         if ahead.has_store:
             self._mirror.retain({i[0] for i in found.items}, now)
         self._mirror.revision = found.revision
-        self._mirror.is_complete = True
+        # Removals that the peer missed show in the next listing only.
+        self._mirror.is_complete = False
         self._on_synced()
         self._log.event(
             'mirror.copied', peer=ahead.peer.name, revision=found.revision
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -119,7 +119,7 @@
             self._retry(attempt, now, 'misdirected', was_run=False)
             return
         self._note_failure(attempt, now, verdict.value)
-        if verdict is calls.Verdict.FAILED:
+        if verdict is calls.Verdict.FAILED and self.state is State.RUNNING:
             self.reply = reply
         self.may_have_run = True
         self._retry(attempt, now, f'status {reply.status}', was_run=True)
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -30,7 +30,7 @@
         self._end_at = end_at
         self._fetches = [
             fetches.Fetch(
-                engine, call, route, name, end_at, end_at, self._done
+                engine, call, route, name, end_at, objective_at, self._done
             )
             for name in route.services
         ]
--- a/savorycross/forward/pace.py
+++ b/savorycross/forward/pace.py
@@ -3,6 +3,8 @@
 from savorycross.relay import latency
 
 HEDGE_PERCENTILE = 92.0
+# Many slow targets spoil high quantiles, but hardly the median.
+MAX_MEDIANS = 2.5
 # Hedges go out between these shares of the route's objective.
 EARLIEST_HEDGE = 0.12
 LATEST_HEDGE = 0.4
@@ -43,6 +45,8 @@
             self._refresh_at = now + REFRESH_S
             found = self._window.quantile(HEDGE_PERCENTILE)
             if found is not None:
+                median = self._window.quantile(50.0)
+                found = min(found, MAX_MEDIANS * median)
                 low = EARLIEST_HEDGE * self._objective_s
                 high = LATEST_HEDGE * self._objective_s
                 self._delay_s = min(max(found, low), high)
--- a/savorycross/platform/entry.py
+++ b/savorycross/platform/entry.py
@@ -1,7 +1,5 @@
 """The calls by which clients and the platform find instances."""
 
-import urllib.parse
-
 import msgspec
 import trio
 
@@ -22,9 +20,7 @@
         if not request.target.startswith(b'/v1/resolve'):
             respond(messages.Reply(404))
             return None
-        query = urllib.parse.parse_qs(request.target.partition(b'?')[2])
-        zone = query.get(b'zone', [b''])[0].decode('latin-1')
-        found = directory.addresses(zone, trio.current_time())
+        found = directory.addresses(trio.current_time())
         found = found[:MAX_ADDRESSES]
         if not found:
             respond(messages.Reply(503))
--- a/savorycross/wire/pool.py
+++ b/savorycross/wire/pool.py
@@ -63,12 +63,20 @@
                 found.close()
                 self._all.discard(found)
                 continue
-            if max_idle_s is not None and now - found.idle_since > max_idle_s:
-                self._idle.append(found)
-                return None
-            return found
+            if max_idle_s is None or now - found.idle_since <= max_idle_s:
+                return found
+            self._idle.append(found)
+            self._make_room()
+            return None
         return None
 
+    def _make_room(self):
+        """Close the oldest idle connection if no other can be opened."""
+        if len(self._all) >= self.limit:
+            oldest = self._idle.pop(0)
+            oldest.close()
+            self._all.discard(oldest)
+
     def _open(self):
         found = outbound.Connection(
             self.address, self._nursery, self._on_idle, self._on_closed
--- /dev/null
+++ b/tests/discovery/test_follower.py
@@ -0,0 +1,70 @@
+"""Following the store."""
+
+import pytest
+import trio
+
+from savorycross.discovery import follower
+from savorycross.discovery import mirror
+from savorycross.events import log
+from tests.discovery import fakes
+
+
+@pytest.fixture
+async def world(nursery, autojump_clock):
+    store = fakes.FakeStore()
+    store.put_value('a', b'1')
+    copy = mirror.Mirror(lambda key, found: None)
+    found = follower.Follower(store, copy, log.NullLog())
+    nursery.start_soon(found.run)
+    await trio.sleep(1)
+    return store, copy, found
+
+
+async def test_listing_and_watch_bring_all_items(world):
+    store, copy, _ = world
+    store.put_value('b', b'2')
+    await trio.sleep(1)
+    assert sorted(copy.items) == ['a', 'b']
+
+
+async def test_lost_history_is_listed_anew(world):
+    store, copy, _ = world
+    store.is_down = True
+    store.put_value('b', b'2')
+    store.remove('a')
+    store.forget()
+    await trio.sleep(3)
+    store.is_down = False
+    await trio.sleep(3)
+    copy.release(trio.current_time())
+    assert sorted(copy.items) == ['b']
+
+
+async def test_outage_keeps_what_is_known(world):
+    store, copy, found = world
+    store.is_down = True
+    store.put_value('b', b'2')
+    await trio.sleep(30)
+    assert sorted(copy.items) == ['a']
+    assert not found.is_connected
+
+
+async def test_quiet_store_gets_few_calls(world):
+    store, _, _ = world
+    store.calls.clear()
+    await trio.sleep(60)
+    assert len(store.calls) <= 60 / follower.WATCH_WAIT_S + 1
+
+
+async def test_incomplete_copy_is_completed_by_a_listing(world):
+    store, copy, _ = world
+    store.is_down = True
+    store.put_value('b', b'2')
+    await trio.sleep(1)
+    store.remove('a')
+    copy.revision = store.revision
+    copy.is_complete = False
+    store.is_down = False
+    await trio.sleep(5)
+    copy.release(trio.current_time())
+    assert sorted(copy.items) == ['b']
--- /dev/null
+++ b/tests/discovery/test_mirror.py
@@ -0,0 +1,59 @@
+"""The copy of the store's items."""
+
+from savorycross.discovery import item
+from savorycross.discovery import mirror
+
+
+class Changes(list):
+    """Collects changes."""
+
+    def __call__(self, key, found):
+        self.append((key, found.value if found is not None else None))
+
+
+def _make():
+    changes = Changes()
+    return mirror.Mirror(changes), changes
+
+
+def test_older_item_is_ignored():
+    found, changes = _make()
+    found.apply(item.Item('a', 5, b'new'), 0.0)
+    found.apply(item.Item('a', 4, b'old'), 0.0)
+    assert changes == [('a', b'new')]
+
+
+def test_removal_hides_older_items():
+    found, changes = _make()
+    found.apply(item.Item('a', 5, b'x'), 0.0)
+    found.apply(item.Item('a', 7, removed=True), 0.0)
+    found.apply(item.Item('a', 6, b'late'), 0.0)
+    assert changes == [('a', b'x'), ('a', None)]
+
+
+def test_listing_removes_what_it_lacks():
+    found, changes = _make()
+    found.apply(item.Item('a', 5, b'x'), 0.0)
+    found.retain({'b'}, 0.0)
+    assert changes[-1] == ('a', None)
+
+
+def test_removal_after_an_outage_is_held_back():
+    found, changes = _make()
+    found.apply(item.Item('a', 5, b'x'), 0.0)
+    found.apply(item.Item('b', 6, b'x'), 0.0)
+    found.note_outage(10.0)
+    found.apply(item.Item('a', 7, removed=True), 10.5)
+    found.apply(item.Item('b', 8, removed=True), 10.5)
+    found.release(11.9)
+    assert len(changes) == 2
+    found.apply(item.Item('a', 9, b'x'), 12.0)
+    found.release(10.0 + mirror.RETURN_HOLD_S + 0.1)
+    assert changes[2:] == [('b', None)]
+
+
+def test_unchanged_value_is_no_change():
+    found, changes = _make()
+    found.apply(item.Item('a', 5, b'x'), 0.0)
+    found.apply(item.Item('a', 6, b'x'), 0.0)
+    assert len(changes) == 1
--- /dev/null
+++ b/tests/fleet/test_exchange.py
@@ -0,0 +1,57 @@
+"""Copies of a peer's mirror."""
+
+import dataclasses
+
+import trio
+
+from savorycross.discovery import item
+from savorycross.discovery import mirror
+from savorycross.events import log
+from savorycross.fleet import exchange
+from savorycross.fleet import heartbeat
+from savorycross.wire import server
+
+
+@dataclasses.dataclass
+class Ahead:
+    """A peer that has seen more."""
+
+    peer: heartbeat.Peer
+    has_store: bool
+
+
+class Down:
+    """A follower without a store."""
+
+    is_connected = False
+
+
+async def _copy(nursery, has_store):
+    theirs = mirror.Mirror(lambda key, found: None)
+    theirs.apply(item.Item('a', 3, b'x'), 0.0)
+    theirs.revision = 9
+    found = server.Server(exchange.make_handler(theirs), nursery)
+    address = ('127.0.0.1', 20931)
+    nursery.start_soon(found.run, address)
+    await trio.testing.wait_all_tasks_blocked()
+    mine = mirror.Mirror(lambda key, found: None)
+    mine.apply(item.Item('gone', 2, b'x'), 0.0)
+    mine.is_complete = True
+    tested = exchange.Exchange(
+        mine, Down(), None, log.NullLog(), lambda: None, nursery
+    )
+    peer = heartbeat.Peer('p', 1, 'bilbo', address, address)
+    await tested._copy(Ahead(peer, has_store))
+    return mine
+
+
+async def test_copy_of_a_connected_peer_removes_what_it_lacks(nursery):
+    mine = await _copy(nursery, has_store=True)
+    assert sorted(mine.items) == ['a']
+    assert mine.revision == 9
+
+
+async def test_copy_must_be_completed_by_a_listing(nursery):
+    mine = await _copy(nursery, has_store=False)
+    assert sorted(mine.items) == ['a', 'gone']
+    assert not mine.is_complete
--- /dev/null
+++ b/tests/forward/test_gather.py
@@ -0,0 +1,139 @@
+"""Calls that all services of a set answer."""
+
+import pytest
+
+from savorycross.forward import gather
+from tests.forward import world
+
+
+class Run:
+    """A gather over services of two targets each."""
+
+    def __init__(self, services=('s1', 's2', 's3', 's4'), **fields):
+        self.engine = world.FakeEngine()
+        for name in services:
+            self.engine.add_target(f'{name}-a', name)
+            self.engine.add_target(f'{name}-b', name)
+        self.ends = []
+        self.gather = gather.Gather(
+            self.engine,
+            world.make_call(),
+            world.make_route(services, **fields),
+            objective_at=100.2,
+            end_at=101.0,
+            on_end=lambda reply, outcome: self.ends.append((reply, outcome)),
+        )
+        self.gather.start()
+
+    def exchanges(self, service):
+        """Return the exchanges of a service in the order of their sends."""
+        return [
+            e for e in self.engine.sends if e.state.target.service == service
+        ]
+
+    def answer(self, service, n=0, **fields):
+        """Answer the nth send of a service."""
+        exchange = self.exchanges(service)[n]
+        exchange.on_reply(world.reply(**{'stamp': service.encode(), **fields}))
+
+
+def test_all_parts_make_a_whole_answer():
+    run = Run()
+    for name in ('s1', 's2', 's3', 's4'):
+        run.answer(name, body=name[1].encode() * 16)
+    ((reply, outcome),) = run.ends
+    assert outcome == 'answered'
+    assert reply.header(b'parts') == b's1, s2, s3, s4'
+    assert reply.header(b'missing-parts') == b'0'
+    assert reply.body[::16] == b'4321'
+
+
+def test_late_failure_of_a_hedged_target_does_not_replace_the_part():
+    run = Run()
+    run.engine.advance(0.1)
+    assert len(run.exchanges('s1')) == 2
+    run.answer('s1', 1)
+    run.answer('s1', 0, status=500, stamp=b'bad', body=b'z' * 16)
+    for name in ('s2', 's3', 's4'):
+        run.answer(name)
+    ((reply, _),) = run.ends
+    assert reply.header(b'parts') == b's1, s2, s3, s4'
+    assert b'z' not in reply.body
+
+
+def test_enough_parts_are_sent_shortly_before_the_objective():
+    run = Run()
+    for name in ('s1', 's2', 's3'):
+        run.answer(name)
+    run.engine.advance(0.15)
+    assert not run.ends
+    run.engine.advance(0.045)
+    ((reply, outcome),) = run.ends
+    assert outcome == 'partial'
+    assert reply.header(b'missing-parts') == b'1'
+
+
+def test_too_few_parts_wait_beyond_the_objective():
+    run = Run()
+    run.answer('s1')
+    run.answer('s2')
+    run.engine.advance(0.5)
+    assert not run.ends
+    run.answer('s3')
+    assert run.ends[0][1] == 'partial'
+
+
+def test_too_few_parts_fail_at_the_end():
+    run = Run()
+    run.answer('s1')
+    run.engine.advance(1.0)
+    ((reply, outcome),) = run.ends
+    assert (reply.status, outcome) == (504, 'timeout')
+
+
+@pytest.mark.parametrize('status', [500, 504])
+def test_failure_is_retried_at_another_target(status):
+    run = Run()
+    run.answer('s1', status=status)
+    first, second = run.exchanges('s1')
+    assert first.state is not second.state
+
+
+def test_answer_fails_at_once_when_enough_parts_are_out_of_reach():
+    run = Run()
+    for name in ('s1', 's2'):
+        run.answer(name, status=500)
+        run.answer(name, 1, status=500)
+    ((reply, outcome),) = run.ends
+    assert (reply.status, outcome) == (502, 'lost')
+
+
+def test_leaving_caller_stops_all_sends():
+    run = Run()
+    run.gather.cancel()
+    for name in ('s1', 's2', 's3', 's4'):
+        (exchange,) = run.exchanges(name)
+        assert exchange.connection.is_closed
+    run.engine.advance(2.0)
+    assert not run.ends
+
+
+def test_set_whose_targets_all_refuse_is_refused_as_not_run():
+    run = Run(('s1',))
+    for _ in range(4):
+        run.engine.sends[-1].on_reply(world.reply(503, Not_Run=b'1'))
+    ((reply, outcome),) = run.ends
+    assert (reply.status, outcome) == (503, 'refused')
+    assert reply.header(b'retry-after')
+
+
+def test_reply_without_signature_is_no_part():
+    run = Run()
+    run.answer('s1', stamp=b'')
+    assert len(run.exchanges('s1')) == 2
+
+
+def test_encoded_reply_is_no_part():
+    run = Run()
+    run.answer('s1', content_encoding=b'gzip')
+    assert len(run.exchanges('s1')) == 2
