Serve metrics, watch settings, introduce new instances; test the new parts

Cause: with the store away an instance that knew one remote seed never met its own neighbours, as remote heartbeats tell of the sender's neighbours only (test_stranger_is_asked_who_it_is failed). Change: a new instance hears of its neighbours; calls wait for targets at least one objective; sends that never left are given back to the budget.

--- a/savorycross/fleet/beacon.py
+++ b/savorycross/fleet/beacon.py
@@ -54,19 +54,15 @@
         ]
         if not near and not remotes:
             far = self._seeds
-        now = trio.current_time()
-        for address in near:
-            await self._send_one(address, self._peers.rows(now, False))
-        rows = self._peers.rows(now, True)
-        for address in {*far, *self._peers.pending_addresses()}:
-            await self._send_one(address, rows)
+        pending = self._peers.pending_addresses()
+        for address in dict.fromkeys((*near, *far, *pending)):
+            await self._send_one(tuple(address))
 
-    async def _send_one(self, address, rows):
-        address = tuple(address)
+    async def _send_one(self, address):
         found = heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=self._peers.own.id,
-            rows=rows,
+            rows=self._peers.rows(address, trio.current_time()),
             asked=self._peers.take_questions(address),
             peers=self._peers.take_answers(address),
             **self._describe(),
--- a/savorycross/fleet/peers.py
+++ b/savorycross/fleet/peers.py
@@ -13,6 +13,8 @@
 REMOTE_MESSAGES = 1.5
 # Instances that are silent are forgotten after this time.
 FORGET_AFTER_S = 20.0
+# An instance is new to others for this time.
+INTRODUCE_S = 5.0
 MAX_ANSWERS = 24
 
 
@@ -164,18 +166,30 @@
                 found.setdefault(peer.data_centre, []).append(peer.address)
         return list(found.values())
 
-    def rows(self, now, is_remote):
-        """Return the Rows of a heartbeat.
+    def rows(self, address, now):
+        """Return the Rows of a heartbeat to an address.
 
-        :param is_remote: whether it goes to another data centre, which
-            hears of this instance's neighbours only.
+        Another data centre hears of this instance's neighbours only; an
+        instance that is new there hears of its own neighbours as well.
         """
+        own = self.own.data_centre
+        to = next(
+            (s for s in self._by_name.values() if s.peer.address == address),
+            None,
+        )
+        told = {own}
+        if to is not None:
+            is_new = now - to.known_at < INTRODUCE_S
+            if to.peer.data_centre == own:
+                told = None
+            elif is_new:
+                told.add(to.peer.data_centre)
         return tuple(
             heartbeats.Row(s.peer.id, int((now - s.heard_at) * 1000), s.flags)
             for s in self._by_name.values()
             if s.heard_at is not None
             and now - s.heard_at < 2 * REMOTE_DEAD_AFTER_S
-            and not (is_remote and s.peer.data_centre != self.own.data_centre)
+            and (told is None or s.peer.data_centre in told)
         )
 
     def take_questions(self, address):
--- a/savorycross/forward/budget.py
+++ b/savorycross/forward/budget.py
@@ -32,6 +32,10 @@
         """Set the number of instances that share the slack."""
         self._instances = max(n, 1)
 
+    def set_limits(self, limits):
+        """Set the ExtraLimits of all instances together."""
+        self._limits = limits
+
     def earn(self):
         """Count a request for the service."""
         self._refill(self._at)
@@ -46,6 +50,10 @@
         """Take a token for a second send, if enough are left."""
         return self._take(now, HEDGE_RESERVE * self._cap())
 
+    def refund(self):
+        """Give back a token, as the send never left this instance."""
+        self._tokens = min(self._tokens + 1.0, self._cap())
+
     def _take(self, now, reserve):
         self._refill(now)
         if self._tokens < 1.0 + reserve:
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -36,6 +36,12 @@
         """Return the runtime clock time in seconds."""
         return trio.current_time()
 
+    def set_site(self, site):
+        """Take changed settings."""
+        self._site = site
+        for found in self._budgets.values():
+            found.set_limits(site.extra)
+
     def set_instances(self, n):
         """Set the number of instances that share all limits."""
         self._instances = n
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -133,6 +133,7 @@
             self.may_have_run = True
         else:
             self.runs -= 1
+            self._engine.budget(self.service).refund()
         self._retry(attempt, now, reason, was_run=was_sent)
 
     def _take_answer(self, attempt, reply, now):
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -28,9 +28,11 @@
         self._on_end = on_end
         self._objective_at = objective_at
         self._end_at = end_at
+        # A repeated call may come after its objective.
+        patient_until = max(objective_at, call.received_at + route.objective_s)
         self._fetches = [
             fetches.Fetch(
-                engine, call, route, name, end_at, objective_at, self._done
+                engine, call, route, name, end_at, patient_until, self._done
             )
             for name in route.services
         ]
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -21,13 +21,17 @@
 from savorycross.gateway import gateway as gateways
 from savorycross.gateway import state as states
 from savorycross.metrics import registry
+from savorycross.wire import messages
 from savorycross.wire import pool
 from savorycross.wire import server
 from savorycross.wire import timers as timers_module
 
 PRUNE_INTERVAL_S = 0.5
+# How often the settings are read again, as they may change unannounced.
+SETTINGS_INTERVAL_S = 2.0
 # Clocks that disagree by more than this show that the machine stood still.
 FREEZE_S = 0.3
+METRICS_TYPE = b'text/plain; version=0.0.4'
 # Part of the grace time that is left when the instance ends anyway.
 STOP_MARGIN_S = 0.5
 # Callers keep an entry answer up to this many times its time.
@@ -130,6 +134,7 @@
                 self._directory, site.keep_s
             ),
             site.peer_address: exchange.make_handler(self._mirror),
+            site.metrics_address: self._serve_metrics,
         }
         self._servers = {
             address: server.Server(handle, self._nursery, self._count_rejected)
@@ -155,6 +160,7 @@
         start(self._announcer.run)
         start(self._exchange.run)
         start(self._look_after)
+        start(self._watch_settings)
         await self._take_signals()
 
     def _describe(self):
@@ -207,12 +213,32 @@
                 self._follower.restart()
             offset = found
 
+    def _serve_metrics(self, request, respond):
+        now = trio.current_time()
+        gauge = self.metrics.set_gauge
+        gauge('store_connected', int(self._follower.is_connected))
+        gauge('store_revision', self._mirror.revision)
+        gauge('instances', self._peers.count(now))
+        gauge('busy_callers', self._callers.busy)
+        gauge('targets', len(self._roster.states()))
+        ejected = sum(s.is_ejected(now) for s in self._roster.states())
+        gauge('targets_ejected', ejected)
+        headers = ((b'Content-Type', METRICS_TYPE),)
+        body = self.metrics.render().encode()
+        respond(messages.Reply(200, headers, body))
+
+    async def _watch_settings(self):
+        while True:
+            await trio.sleep(SETTINGS_INTERVAL_S)
+            self._reload()
+
     async def _take_signals(self):
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*signals) as received:
             async for number in received:
                 if number != signal.SIGHUP:
                     break
+                self.log.event('settings.reload_asked')
                 self._reload()
             await self._stop()
 
@@ -222,7 +248,11 @@
         except self._adapter.SettingsError as exc:
             self.log.event('settings.invalid', reason=exc.message)
             return
-        self.log.event('settings.reloaded', changed=found != self._site)
+        if found == self._site:
+            return
+        self._site = found
+        self._engine.set_site(found)
+        self.log.event('settings.changed')
 
     async def _stop(self):
         """Leave the directory, serve what still comes, then end."""
--- a/savorycross/gateway/site.py
+++ b/savorycross/gateway/site.py
@@ -50,6 +50,7 @@
     ready_address: tuple[str, int]
     entry_address: tuple[str, int]
     peer_address: tuple[str, int]
+    metrics_address: tuple[str, int]
     store_address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...]
     is_first_start: bool
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -46,9 +46,10 @@
     bootstrap: bool = False
 
 
-def read_site(path=None):
+def read_site(metrics_port, path=None):
     """Return the Site in a settings file.
 
+    :param metrics_port: TCP port on which metrics are served.
     :param path: the file; by default the one that the environment names.
     :raises SettingsError: naming the field that is missing or wrong.
     """
@@ -61,10 +62,10 @@
     except (OSError, ValueError) as exc:
         # Errors of tomllib and msgspec are value errors.
         raise errors.SettingsError(f'{path}: {exc}') from exc
-    return _to_site(found)
+    return _to_site(found, metrics_port)
 
 
-def _to_site(found):
+def _to_site(found, metrics_port):
     bounds = found.bounds
     return site.Site(
         name=found.node,
@@ -73,6 +74,7 @@
         ready_address=parse_address(found.listen.ready),
         entry_address=parse_address(found.listen.directory),
         peer_address=(found.ip, found.internal_ports[0]),
+        metrics_address=(found.ip, metrics_port),
         store_address=parse_address(found.platform.addr),
         seeds=tuple(
             (parse_address(seed)[0], found.internal_ports[0])
--- /dev/null
+++ b/tests/fleet/test_peers.py
@@ -0,0 +1,153 @@
+"""What instances believe of each other."""
+
+import random
+
+from savorycross.events import log
+from savorycross.fleet import heartbeat
+from savorycross.fleet import peers
+
+
+def _peer(name, data_centre='bilbo', started_at=1):
+    host = f'10.0.{ord(name[0])}.{int(name[1:] or 0) + 1}'
+    return heartbeat.Peer(
+        name,
+        started_at,
+        data_centre,
+        (host, 7740),
+        (host, 8226),
+    )
+
+
+class Group:
+    """Instances that exchange heartbeats by a clock of the test."""
+
+    def __init__(self, **data_centres):
+        self.now = 100.0
+        self.rng = random.Random(5)
+        self.members = {}
+        self.down = set()
+        self.cuts = set()
+        for data_centre, names in data_centres.items():
+            for name in names:
+                self.add(_peer(name, data_centre))
+        for member in self.members.values():
+            for other in self.members.values():
+                member.learn(other.own, self.now)
+
+    def add(self, peer):
+        """Add an instance."""
+        self.members[peer.name] = peers.Peers(peer, log.NullLog())
+
+    def run(self, seconds):
+        """Exchange heartbeats for a time."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += peers.HEARTBEAT_INTERVAL_S
+            for name, member in self.members.items():
+                if name not in self.down:
+                    self._beat(name, member)
+
+    def serving(self, name):
+        """Return the names that an instance takes for serving."""
+        found = self.members[name].serving(self.now)
+        return sorted(p.name for p in found)
+
+    def _beat(self, name, member):
+        near = member.neighbours()
+        share = peers.REMOTE_MESSAGES / (len(near) + 1)
+        far = [
+            self.rng.choice(a)
+            for a in member.remotes()
+            if self.rng.random() < share
+        ]
+        to = (*near, *far, *member.pending_addresses())
+        for address in dict.fromkeys(to):
+            self._deliver(name, member, address)
+
+    def _deliver(self, name, member, address):
+        for other, found in self.members.items():
+            if found.own.address != address or other in self.down:
+                continue
+            if (name, other) in self.cuts:
+                continue
+            sent = heartbeat.Heartbeat(
+                heartbeat.FORMAT,
+                member.own.id,
+                heartbeat.READY,
+                7,
+                True,
+                member.rows(address, self.now),
+                member.take_questions(address),
+                member.take_answers(address),
+            )
+            data = heartbeat.encode(sent)
+            found.hear(heartbeat.decode(data), member.own.address, self.now)
+
+
+def test_all_instances_find_each_other():
+    group = Group(bilbo='abc', iruna='def')
+    group.run(3)
+    assert group.serving('a') == ['b', 'c', 'd', 'e', 'f']
+
+
+def test_dead_instance_is_left_out_everywhere():
+    group = Group(bilbo='abc', iruna='def')
+    group.run(3)
+    group.down.add('b')
+    group.run(peers.REMOTE_DEAD_AFTER_S + 1.2)
+    assert group.serving('a') == ['c', 'd', 'e', 'f']
+    assert group.serving('d') == ['a', 'c', 'e', 'f']
+
+
+def test_live_instances_stay_for_long():
+    group = Group(bilbo='abcd', iruna='efgh', donosti='ijkl')
+    group.run(5)
+    for _ in range(100):
+        group.run(1)
+        assert len(group.serving('a')) == 11
+
+
+def test_instance_heard_by_neighbours_alone_is_alive():
+    group = Group(bilbo='abc')
+    group.run(3)
+    group.cuts.add(('b', 'a'))
+    group.run(5)
+    assert group.serving('a') == ['b', 'c']
+
+
+def test_restarted_instance_takes_the_place_of_its_predecessor():
+    group = Group(bilbo='abc')
+    group.run(3)
+    group.add(_peer('b', started_at=9))
+    group.members['b'].learn(group.members['a'].own, group.now)
+    group.run(3)
+    (found,) = [
+        p for p in group.members['c'].serving(group.now) if p.name == 'b'
+    ]
+    assert found.started_at == 9
+
+
+def test_stranger_is_asked_who_it_is():
+    group = Group(bilbo='ab', iruna='de')
+    group.run(2)
+    group.add(_peer('z', 'iruna'))
+    group.members['z'].learn(group.members['a'].own, group.now)
+    group.run(6)
+    assert 'z' in group.serving('d')
+    assert group.serving('z') == ['a', 'b', 'd', 'e']
+
+
+def test_datagram_between_data_centres_is_small():
+    names = [f'{c}{i}' for c in 'abcd' for i in range(7)]
+    group = Group(bilbo=names[:7], iruna=names[7:])
+    group.run(8)
+    member = group.members['a0']
+    sent = heartbeat.Heartbeat(
+        heartbeat.FORMAT,
+        member.own.id,
+        heartbeat.READY,
+        1000,
+        True,
+        member.rows(group.members['b3'].own.address, group.now),
+    )
+    assert len(heartbeat.encode(sent)) < 120
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -121,6 +121,7 @@
         ready_address=('127.0.0.1', 2),
         entry_address=('127.0.0.1', 3),
         peer_address=('127.0.0.1', 4),
+        metrics_address=('127.0.0.1', 6),
         store_address=('127.0.0.1', 5),
         seeds=(),
         is_first_start=is_first_start,
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,67 @@
+"""Headers of clients and backends."""
+
+import pytest
+
+from savorycross.forward import call as calls
+from savorycross.platform import dialect
+from savorycross.wire import messages
+
+DIALECT = dialect.PlatformDialect()
+
+
+def _request(*headers):
+    given = ((b'Host', b'H.example:80'), (b'request-id', b'id-1'))
+    return messages.Request(b'GET', b'/a/b?c', given + headers)
+
+
+def test_call_keeps_headers_but_those_of_one_connection():
+    found = DIALECT.read_call(
+        _request(
+            (b'X-Own', b'1'), (b'Connection', b'x'), (b'Deadline-Ms', b'1500')
+        )
+    )
+    assert found.host == 'h.example'
+    assert found.path == '/a/b'
+    assert found.allowed_s == 1.5
+    names = [name for name, _ in found.headers]
+    assert names == [b'Host', b'request-id', b'X-Own']
+
+
+def test_send_names_deadline_and_target():
+    call = DIALECT.read_call(_request())
+    data = DIALECT.encode_send(call, 0.25, 'i-7')
+    assert data == (
+        b'GET /a/b?c HTTP/1.1\r\nHost: H.example:80\r\nrequest-id: id-1\r\n'
+        b'Deadline-Ms: 250\r\nExpect-Instance: i-7\r\n\r\n'
+    )
+
+
+def test_request_without_identity_is_no_call():
+    assert DIALECT.read_call(messages.Request(b'GET', b'/', ())) is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'verdict'),
+    [
+        (200, {b'Server-Stamp': b'x'}, calls.Verdict.OK),
+        (200, {}, calls.Verdict.INVALID),
+        (
+            200,
+            {b'Server-Stamp': b'x', b'Content-Encoding': b'gzip'},
+            calls.Verdict.INVALID,
+        ),
+        (500, {b'Server-Stamp': b'x'}, calls.Verdict.FAILED),
+        (503, {b'Server-Stamp': b'x'}, calls.Verdict.FAILED),
+        (503, {b'Not-Run': b'1'}, calls.Verdict.NOT_RUN),
+        (429, {b'Not-Run': b'1'}, calls.Verdict.NOT_RUN),
+        (421, {b'Instance': b'i'}, calls.Verdict.MISDIRECTED),
+    ],
+)
+def test_reply_is_judged(status, headers, verdict):
+    reply = messages.Reply(status, tuple(headers.items()))
+    assert DIALECT.judge(reply) is verdict
+
+
+def test_refusal_says_when_to_come_back():
+    reply = DIALECT.make_refusal(503, 0.25)
+    assert reply.header(b'retry-after') == b'0.250'
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+"""The platform's settings file."""
+
+import pytest
+
+from savorycross import errors
+from savorycross.platform import settings
+
+FILE = """
+node = "front-1"
+ip = "10.1.0.39"
+zone = "bilbo"
+internal_ports = [7740, 7755]
+seeds = ["10.1.0.39:8224", "10.2.0.33:8224"]
+bootstrap = true
+colour = "red"
+[listen]
+front = "10.1.0.39:8226"
+ready = "10.1.0.39:8227"
+directory = "10.1.0.39:8225"
+[bounds]
+grace_s = 6
+retry_ratio = 0.2
+retry_slack = 56
+[platform]
+addr = "10.200.1.7:8229"
+"""
+
+
+def _read(tmp_path, text):
+    path = tmp_path / 'settings.toml'
+    path.write_text(text)
+    return settings.read_site(9464, str(path))
+
+
+def test_file_describes_a_site(tmp_path):
+    found = _read(tmp_path, FILE)
+    assert found.data_centre == 'bilbo'
+    assert found.peer_address == ('10.1.0.39', 7740)
+    assert found.seeds == (('10.1.0.39', 7740), ('10.2.0.33', 7740))
+    assert found.extra.slack == 56
+    assert found.is_first_start
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        ('node = "front-1"', '', 'node'),
+        ('ip = "10.1.0.39"', 'ip = 7', 'ip'),
+        ('front = "10.1.0.39:8226"', '', 'front'),
+        ('grace_s = 6', 'grace_s = "long"', 'grace_s'),
+        ('10.200.1.7:8229', '10.200.1.7', '10.200.1.7'),
+    ],
+)
+def test_fault_names_the_field(tmp_path, old, new, named):
+    with pytest.raises(errors.SettingsError, match=named):
+        _read(tmp_path, FILE.replace(old, new))
+
+
+def test_missing_file_is_told(tmp_path):
+    with pytest.raises(errors.SettingsError, match='absent'):
+        settings.read_site(9464, str(tmp_path / 'absent'))
