--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,150 @@
+"""A caller that asks, keeps connections, and checks its answers."""
+
+import dataclasses
+import json
+
+import trio
+
+from savorycross import errors
+from savorycross.wire import client
+from standins import backend as backends
+
+DEADLINE_MS = 1500
+RESOLVE_TIMEOUT_S = 1.0
+# Calls on one connection before a new one is opened.
+CALLS_A_CONNECTION = 25
+HOST = 'h.example'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a call.
+
+    :param status: 0 if the connection ended without an answer.
+    """
+
+    id: str
+    kind: str
+    status: int
+    sent_at: float
+    ended_at: float
+    instance: str
+    reason: str = ''
+
+
+class Caller:
+    """Calls instances, one call at a time.
+
+    :param world: World.
+    :param name: part of the ids of its calls.
+    :param rng: random.Random.
+    """
+
+    def __init__(self, world, name, rng, nursery):
+        self._world = world
+        self._name = name
+        self._rng = rng
+        self._nursery = nursery
+        self._addresses = []
+        self._keep_until = 0.0
+        self._client = None
+        self._address = None
+        self._n = 0
+
+    async def run(self):
+        """Call until cancelled."""
+        while True:
+            await trio.sleep(self._rng.expovariate(12))
+            await self._resolve()
+            if self._addresses:
+                await self._call()
+
+    async def _resolve(self):
+        now = trio.current_time()
+        if now < self._keep_until:
+            return
+        instance = self._rng.choice(self._world.instances)
+        asked = client.Client(instance.address('directory'), self._nursery)
+        try:
+            reply = await asked.call(
+                b'GET',
+                f'/v1/resolve?name={HOST}&zone={instance.zone}'.encode(),
+                timeout_s=RESOLVE_TIMEOUT_S,
+            )
+        except errors.ConnectionLostError:
+            return
+        finally:
+            asked.close()
+        if reply.status != 200:
+            return
+        found = json.loads(reply.body)
+        self._addresses = [
+            (host, int(port))
+            for host, _, port in (a.partition(':') for a in found['addrs'])
+        ]
+        factor = 3 if self._rng.random() < 0.2 else 1
+        self._keep_until = now + factor * found['ttl_s']
+        if self._address not in self._addresses:
+            self._leave()
+
+    async def _call(self):
+        if self._client is None or self._n % CALLS_A_CONNECTION == 0:
+            self._leave()
+            self._address = self._rng.choice(self._addresses)
+            self._client = client.Client(self._address, self._nursery)
+        self._n += 1
+        id_ = f'{self._name}-{self._n}'
+        kind = self._rng.choice(['all', 'all', 'one', 'once'])
+        headers = (
+            (b'Request-Id', id_.encode()),
+            (b'Deadline-Ms', b'%d' % DEADLINE_MS),
+        )
+        method = b'POST' if kind == 'once' else b'GET'
+        sent_at = trio.current_time()
+        status, reason = 0, ''
+        try:
+            reply = await self._client.call(
+                method,
+                f'/{kind}/x'.encode(),
+                b'body' if kind == 'once' else b'',
+                DEADLINE_MS / 1000 + 0.7,
+                ((b'Host', HOST.encode()), *headers),
+            )
+            status = reply.status
+            self._check(id_, kind, reply)
+        except errors.ConnectionLostError as exc:
+            reason = exc.message
+            failed, self._address = self._address, None
+            self._addresses = [a for a in self._addresses if a != failed]
+            self._leave()
+        self._world.checks.take(
+            Outcome(
+                id_,
+                kind,
+                status,
+                sent_at,
+                trio.current_time(),
+                self._address[0] if self._address else '',
+                reason,
+            )
+        )
+
+    def _check(self, id_, kind, reply):
+        if not 200 <= reply.status < 300:
+            return
+        check = self._world.checks
+        if kind == 'all':
+            check.check_gather(id_, reply)
+            return
+        stamp = reply.header(b'server-stamp') or b''
+        backend = stamp.decode().partition('.')[0]
+        service = backend.partition('+')[0]
+        if stamp != backends.sign(backend, id_):
+            check.fail('mixed', f'{id_}: signature {stamp}')
+        elif reply.body != backends.make_records(service, id_):
+            check.fail('mixed', f'{id_}: body of another request')
+
+    def _leave(self):
+        if self._client is not None:
+            self._client.close()
+            self._client = None
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,130 @@
+"""One instance as a real process."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import trio
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PORTS = {
+    'front': 18080,
+    'ready': 18081,
+    'directory': 18082,
+    'control': 18083,
+}
+INTERNAL_PORTS = (18090, 18099)
+METRICS_PORT = 18100
+SETTINGS = """
+node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+internal_ports = [{low}, {high}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+[listen]
+{listen}
+[bounds]
+drain_ms = 3000
+grace_s = 6
+ttl_max_s = 5
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 200
+[platform]
+addr = "{store}"
+"""
+
+
+class Instance:
+    """Starts, signals and ends one instance.
+
+    :param ip: loopback address of its own.
+    :param store_proxy: Proxy to the store.
+    :param folder: where settings and log go.
+    """
+
+    def __init__(self, name, ip, zone, seeds, store_proxy, folder):
+        self.name = name
+        self.ip = ip
+        self.zone = zone
+        self.store_proxy = store_proxy
+        self.incarnation = 0
+        self.stopping = False
+        self._seeds = seeds
+        self._folder = folder
+        self._process = None
+
+    @property
+    def is_running(self):
+        """Whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def address(self, use):
+        """Return the address of a listener."""
+        return self.ip, PORTS[use]
+
+    def start(self):
+        """Start the process."""
+        self.write_settings()
+        self.incarnation += 1
+        self.stopping = False
+        log = open(self._folder / f'{self.name}.log', 'ab')
+        with log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'savorycross.platform',
+                    str(METRICS_PORT),
+                ],
+                cwd=ROOT,
+                env={
+                    **os.environ,
+                    'SAVORYCROSS_SETTINGS': str(self._settings_path),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def write_settings(self):
+        """Write the settings file anew."""
+        host, port = self.store_proxy.address
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self.zone,
+            low=INTERNAL_PORTS[0],
+            high=INTERNAL_PORTS[1],
+            seeds=', '.join(f'"{s}:{PORTS["control"]}"' for s in self._seeds),
+            bootstrap='true' if not self.incarnation else 'false',
+            listen='\n'.join(
+                f'{use} = "{self.ip}:{port}"' for use, port in PORTS.items()
+            ),
+            store=f'{host}:{port}',
+        )
+        self._settings_path.write_text(text)
+
+    def send(self, number):
+        """Send a signal."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    async def wait(self):
+        """Wait until the process has ended and return its status."""
+        while self._process.poll() is None:
+            await trio.sleep(0.05)
+        return self._process.returncode
+
+    def kill(self):
+        """End the process at once."""
+        if self.is_running:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
+
+    @property
+    def _settings_path(self):
+        return self._folder / f'{self.name}.toml'
