--- a/savorycross/cli/main.py
+++ b/savorycross/cli/main.py
@@ -12,8 +12,10 @@
 
 import savorycross
 from savorycross.cli import deferred
+from savorycross.cli import explain
 from savorycross.cli import instances
 from savorycross.cli import output
+from savorycross.cli import settings as settings_commands
 from savorycross.cli import sheet
 from savorycross.client import client as clients
 from savorycross import errors
@@ -31,6 +33,7 @@
 
     def __init__(self):
         self.sheet = sheet.SheetCommands()
+        self.settings = settings_commands.SettingsCommands()
 
     def serve(self, **flags):
         """Run an instance until SIGTERM; flags are the settings.
@@ -105,6 +108,16 @@
             lambda: trio.run(_timeline, entries, request, since)
         )
 
+    def explain(self, request, *files):
+        """Print a request's story from the logs of several instances.
+
+        :param request: id of the request.
+        :param files: paths of logs; standard input if there are none.
+        """
+        return deferred.Deferred(
+            lambda: explain.explain(str(request), [str(f) for f in files])
+        )
+
     def version(self):
         """Print the version."""
         return deferred.Deferred(lambda: savorycross.__version__)
