Let no reload signal end a process that does not listen yet

Ruled out: the running instance, which logged a reload before. Change: the signal is ignored from the first line of the program on. The test fails without it (status -1).

--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -4,19 +4,24 @@
 """
 
 import functools
+import signal
 import sys
 
-import trio
-
 from savorycross import errors
-from savorycross.events import log
-from savorycross.gateway import instance
-from savorycross.platform import adapter
-from savorycross.platform import settings
 
 
 def main(arguments):
     """Run until the stop signal and return the exit status."""
+    # A reload signal before the instance listens for it, or after, must
+    # not end the process. Imports take time, so they come later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import trio
+
+    from savorycross.events import log
+    from savorycross.gateway import instance
+    from savorycross.platform import adapter
+    from savorycross.platform import settings
+
     log.configure()
     try:
         read_site = functools.partial(settings.read_site, _port(arguments))
--- /dev/null
+++ b/tests/platform/test_main.py
@@ -0,0 +1,52 @@
+"""The process that the platform runs."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+# Sends the signal from within, at the moment that settings are read: the
+# instance does not listen for signals yet.
+EARLY_SIGNAL = """
+import os, signal, sys
+from savorycross.platform import __main__ as main, settings
+def read_site(port):
+    os.kill(os.getpid(), signal.SIGHUP)
+    raise main.errors.SettingsError('survived')
+settings.read_site = read_site
+sys.exit(main.main(['9464']))
+"""
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process():
+    found = subprocess.run(
+        [sys.executable, '-c', EARLY_SIGNAL], capture_output=True, text=True
+    )
+    assert found.returncode != -signal.SIGHUP
+    assert 'survived' in found.stderr
+
+
+@pytest.mark.parametrize('arguments', [[], ['x'], ['0'], ['1', '2']])
+def test_wrong_arguments_are_told(arguments):
+    found = subprocess.run(
+        [sys.executable, '-m', 'savorycross.platform', *arguments],
+        capture_output=True,
+        text=True,
+    )
+    assert found.returncode == 2
+    assert 'usage' in found.stderr or 'port 0' in found.stderr
+
+
+def test_missing_settings_are_told():
+    environment = dict(os.environ)
+    environment.pop('SAVORYCROSS_SETTINGS', None)
+    found = subprocess.run(
+        [sys.executable, '-m', 'savorycross.platform', '9464'],
+        capture_output=True,
+        text=True,
+        env=environment,
+    )
+    assert found.returncode == 2
+    assert 'SAVORYCROSS_SETTINGS' in found.stderr
