--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -1,5 +1,7 @@
 """What this instance believes of a target."""
 
+import math
+
 EWMA_WEIGHT = 0.15
 # What was measured before weighs half after this time, however few samples
 # there are.
@@ -10,6 +12,13 @@
 MAX_FAILURES = 2
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 4.0
+# A first slow sample after a usual one counts no more than this, as a
+# target may just have paused.
+FIRST_OUTLIER = 3.0
+# What a neighbour measured counts with this factor.
+HINT_WEIGHT = 0.7
+# Own samples newer than this go before a neighbour's.
+HINT_AFTER_S = 0.3
 # Slowness of one target in a sample is cut here.
 MAX_SLOWNESS = 20.0
 # Cold targets take no more than this in one second where no rate is given.
@@ -36,6 +45,8 @@
         self.cold_until = 0.0
         self._slowness = 1.0
         self._sampled_at = now
+        self._last_ratio = 1.0
+        self._measured_at = -math.inf
         self._cold_sends = []
 
     def slowness(self, now):
@@ -64,10 +75,27 @@
         """Add a measured latency by the usual one."""
         current = self.slowness(now)
         ratio = min(ratio, MAX_SLOWNESS)
+        last, self._last_ratio = self._last_ratio, ratio
+        if last < FIRST_OUTLIER:
+            ratio = min(ratio, FIRST_OUTLIER)
         faded = 1.0 - 0.5 ** ((now - self._sampled_at) / HALF_LIFE_S)
         weight = max(EWMA_WEIGHT, faded)
         self._slowness = current + weight * (ratio - current)
         self._sampled_at = now
+        self._measured_at = now
+
+    def take_hint(self, ratio, now):
+        """Take the slowness that a neighbour measured."""
+        if now - self._measured_at < HINT_AFTER_S:
+            return
+        self._slowness = max(self.slowness(now), HINT_WEIGHT * ratio)
+        self._sampled_at = now
+
+    def measured_slowness(self, now, max_age_s):
+        """Return the slowness if it was measured here lately, else 1."""
+        if now - self._measured_at > max_age_s:
+            return 1.0
+        return self.slowness(now)
 
     def succeed(self):
         """Note an answer."""
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -109,7 +109,13 @@
         self._peers = peers_module.Peers(self._own, self.log)
         self._directory = entry.Directory(self._own, self._peers)
         self._beacon = beacons.Beacon(
-            self._peers, site.seeds, self._describe, self._rng, self.metrics
+            self._peers,
+            site.seeds,
+            self._describe,
+            self._hints,
+            self._take_hints,
+            self._rng,
+            self.metrics,
         )
         self._own_key = self._adapter.keys.instance_key(site.name)
         self._announcer = announcers.Announcer(
@@ -171,6 +177,12 @@
             'has_store': self._follower.is_connected,
         }
 
+    def _hints(self):
+        return self._roster.slow_targets(trio.current_time())
+
+    def _take_hints(self, pairs):
+        self._roster.take_hints(pairs, trio.current_time())
+
     def _on_synced(self):
         configuration = self._gateway.configuration
         if configuration is None:
