Pay for each send after the first again; cap the wait of a failing target

Ruled out: the number of instances (4 throughout), the bucket's cap. Found on the way by a test: the wait of an ejected target overflowed a float after 1,024 failures in a row; limits were shared by one instance until others were heard.

--- a/savorycross/fleet/beacon.py
+++ b/savorycross/fleet/beacon.py
@@ -17,19 +17,14 @@
     :param seeds: addresses that get heartbeats while no peer is known.
     :param describe: callable that returns the fields of a Heartbeat that
         this instance knows of itself, by name.
-    :param hints: callable that returns ids and slowness of targets, for
-        neighbours.
-    :param on_hints: called with those of a neighbour.
     :param rng: random.Random.
     :param metrics: Registry.
     """
 
-    def __init__(self, peers, seeds, describe, hints, on_hints, rng, metrics):
+    def __init__(self, peers, seeds, describe, rng, metrics):
         self._peers = peers
         self._seeds = [s for s in seeds if s != peers.own.address]
         self._describe = describe
-        self._hints = hints
-        self._on_hints = on_hints
         self._rng = rng
         self._metrics = metrics
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -59,20 +54,17 @@
         ]
         if not near and not remotes:
             far = self._seeds
-        hints = tuple(self._hints()) if near else ()
         pending = self._peers.pending_addresses()
         for address in dict.fromkeys((*near, *far, *pending)):
-            is_near = address in near
-            await self._send_one(tuple(address), hints if is_near else ())
+            await self._send_one(tuple(address))
 
-    async def _send_one(self, address, hints):
+    async def _send_one(self, address):
         found = heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=self._peers.own.id,
             rows=self._peers.rows(address, trio.current_time()),
             asked=self._peers.take_questions(address),
             peers=self._peers.take_answers(address),
-            slow=hints,
             **self._describe(),
         )
         try:
@@ -93,5 +85,3 @@
                 self._metrics.count('heartbeat_invalid')
                 continue
             self._peers.hear(found, address, trio.current_time())
-            if found.slow:
-                self._on_hints(found.slow)
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -4,7 +4,7 @@
 import xxhash
 
 # Version of the format; others are dropped.
-FORMAT = 3
+FORMAT = 2
 
 
 class Peer(msgspec.Struct, frozen=True, array_like=True):
@@ -53,8 +53,6 @@
     :param revision: the store's revision that the sender has seen.
     :param has_store: whether the store answers the sender.
     :param rows: what the sender believes of others.
-    :param slow: ids of targets and how slow the sender measured them; only
-        neighbours hear of them.
     :param asked: ids whose Peer the sender does not know.
     :param peers: answers to ids that the receiver asked for.
     """
@@ -67,7 +65,6 @@
     rows: tuple[Row, ...] = ()
     asked: tuple[int, ...] = ()
     peers: tuple[Peer, ...] = ()
-    slow: tuple[tuple[str, float], ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/forward/budget.py
+++ b/savorycross/forward/budget.py
@@ -50,10 +50,6 @@
         """Take a token for a second send, if enough are left."""
         return self._take(now, HEDGE_RESERVE * self._cap())
 
-    def refund(self):
-        """Give back a token, as the send never left this instance."""
-        self._tokens = min(self._tokens + 1.0, self._cap())
-
     def _take(self, now, reserve):
         self._refill(now)
         if self._tokens < 1.0 + reserve:
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -133,7 +133,6 @@
             self.may_have_run = True
         else:
             self.runs -= 1
-            self._engine.budget(self.service).refund()
         self._retry(attempt, now, reason, was_run=was_sent)
 
     def _take_answer(self, attempt, reply, now):
@@ -204,7 +203,8 @@
         if state is None:
             self.reason = self.reason or 'no usable target'
             return False
-        if self.sends:
+        is_extra = self.sends > 0
+        if is_extra:
             budget = engine.budget(self.service)
             take = budget.take_hedge if is_hedge else budget.take_retry
             if not take(now):
@@ -223,7 +223,7 @@
         self.tried.add(state.target.id)
         self.sends += 1
         self.runs += 1
-        engine.count_send(self.service, self.sends > 1)
+        engine.count_send(self.service, is_extra)
         if self.route.is_idempotent and self._may_send_more():
             delay = engine.pace(self.route).hedge_delay(now)
             self._set_timer(now + delay, self._hedge)
--- a/savorycross/forward/roster.py
+++ b/savorycross/forward/roster.py
@@ -1,14 +1,7 @@
 """Targets by service, as discovery and operators declare them."""
 
-import heapq
-
 from savorycross.forward import target_state
 
-# Slowness that neighbours are told of, by how many and how old samples.
-TELL_SLOWNESS = 2.5
-TELL_MOST = 24
-TELL_AGE_S = 1.0
-
 
 class Roster:
     """TargetStates by id and by service.
@@ -108,22 +101,6 @@
             data_centre=data_centre,
         )
 
-    def slow_targets(self, now):
-        """Return ids and slowness of targets that were slow lately."""
-        found = (
-            (state.measured_slowness(now, TELL_AGE_S), id_)
-            for id_, state in self._by_id.items()
-        )
-        slow = (pair for pair in found if pair[0] > TELL_SLOWNESS)
-        return [(id_, ratio) for ratio, id_ in heapq.nlargest(TELL_MOST, slow)]
-
-    def take_hints(self, pairs, now):
-        """Take ids and slowness that a neighbour measured."""
-        for id_, ratio in pairs:
-            state = self._by_id.get(id_)
-            if state is not None:
-                state.take_hint(ratio, now)
-
     def prune(self, now):
         """Close connections that were idle for too long."""
         for state in self._by_id.values():
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -1,7 +1,5 @@
 """What this instance believes of a target."""
 
-import math
-
 EWMA_WEIGHT = 0.15
 # What was measured before weighs half after this time, however few samples
 # there are.
@@ -12,13 +10,7 @@
 MAX_FAILURES = 2
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 4.0
-# A first slow sample after a usual one counts no more than this, as a
-# target may just have paused.
-FIRST_OUTLIER = 3.0
-# What a neighbour measured counts with this factor.
-HINT_WEIGHT = 0.7
-# Own samples newer than this go before a neighbour's.
-HINT_AFTER_S = 0.3
+MAX_DOUBLINGS = 10
 # Slowness of one target in a sample is cut here.
 MAX_SLOWNESS = 20.0
 # Cold targets take no more than this in one second where no rate is given.
@@ -45,8 +37,6 @@
         self.cold_until = 0.0
         self._slowness = 1.0
         self._sampled_at = now
-        self._last_ratio = 1.0
-        self._measured_at = -math.inf
         self._cold_sends = []
 
     def slowness(self, now):
@@ -75,27 +65,10 @@
         """Add a measured latency by the usual one."""
         current = self.slowness(now)
         ratio = min(ratio, MAX_SLOWNESS)
-        last, self._last_ratio = self._last_ratio, ratio
-        if last < FIRST_OUTLIER:
-            ratio = min(ratio, FIRST_OUTLIER)
         faded = 1.0 - 0.5 ** ((now - self._sampled_at) / HALF_LIFE_S)
         weight = max(EWMA_WEIGHT, faded)
         self._slowness = current + weight * (ratio - current)
         self._sampled_at = now
-        self._measured_at = now
-
-    def take_hint(self, ratio, now):
-        """Take the slowness that a neighbour measured."""
-        if now - self._measured_at < HINT_AFTER_S:
-            return
-        self._slowness = max(self.slowness(now), HINT_WEIGHT * ratio)
-        self._sampled_at = now
-
-    def measured_slowness(self, now, max_age_s):
-        """Return the slowness if it was measured here lately, else 1."""
-        if now - self._measured_at > max_age_s:
-            return 1.0
-        return self.slowness(now)
 
     def succeed(self):
         """Note an answer."""
@@ -106,7 +79,8 @@
         self.failures += 1
         if self.failures < MAX_FAILURES:
             return False
-        wait = EJECT_FIRST_S * 2 ** (self.failures - MAX_FAILURES)
+        doublings = min(self.failures - MAX_FAILURES, MAX_DOUBLINGS)
+        wait = EJECT_FIRST_S * 2**doublings
         self.ejected_until = now + min(wait, EJECT_MOST_S)
         return True
 
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -27,6 +27,8 @@
 from savorycross.wire import timers as timers_module
 
 PRUNE_INTERVAL_S = 0.5
+# Time in which an instance hears of the others after its start.
+LEARN_S = 2.0
 # How often the settings are read again, as they may change unannounced.
 SETTINGS_INTERVAL_S = 2.0
 # Clocks that disagree by more than this show that the machine stood still.
@@ -109,13 +111,7 @@
         self._peers = peers_module.Peers(self._own, self.log)
         self._directory = entry.Directory(self._own, self._peers)
         self._beacon = beacons.Beacon(
-            self._peers,
-            site.seeds,
-            self._describe,
-            self._hints,
-            self._take_hints,
-            self._rng,
-            self.metrics,
+            self._peers, site.seeds, self._describe, self._rng, self.metrics
         )
         self._own_key = self._adapter.keys.instance_key(site.name)
         self._announcer = announcers.Announcer(
@@ -157,6 +153,8 @@
             is_first_start=self._site.is_first_start,
             cpu_s=round(time.process_time(), 3),
         )
+        # Limits are shared with others before any of them was heard.
+        self._engine.set_instances(len(self._site.seeds) + 1)
         start = self._nursery.start_soon
         start(self._timers.run)
         for address, found in self._servers.items():
@@ -177,12 +175,6 @@
             'has_store': self._follower.is_connected,
         }
 
-    def _hints(self):
-        return self._roster.slow_targets(trio.current_time())
-
-    def _take_hints(self, pairs):
-        self._roster.take_hints(pairs, trio.current_time())
-
     def _on_synced(self):
         configuration = self._gateway.configuration
         if configuration is None:
@@ -204,7 +196,9 @@
         except ValueError as exc:
             self.log.event('instance.invalid', key=key, reason=str(exc))
             return
-        self._peers.learn(peer, trio.current_time())
+        now = trio.current_time()
+        self._peers.learn(peer, now)
+        self._engine.set_instances(self._peers.count(now))
 
     def _count_rejected(self, status):
         self.metrics.count('rejected', status=status)
@@ -213,11 +207,13 @@
     async def _look_after(self):
         """Prune connections, share limits, notice that time stood still."""
         offset = _clock_offset()
+        started_at = trio.current_time()
         while True:
             await trio.sleep(PRUNE_INTERVAL_S)
             now = trio.current_time()
             self._roster.prune(now)
-            self._engine.set_instances(self._peers.count(now))
+            if now - started_at > LEARN_S:
+                self._engine.set_instances(self._peers.count(now))
             found = _clock_offset()
             if found - offset > FREEZE_S:
                 self.log.event('instance.woke', stood_s=found - offset)
--- a/tests/forward/test_budget.py
+++ b/tests/forward/test_budget.py
@@ -26,14 +26,6 @@
     assert not _make(fraction=0.1).take_retry(0.0)
 
 
-def test_send_that_never_left_is_given_back():
-    found = _make()
-    while found.take_retry(0.0):
-        pass
-    found.refund()
-    assert found.take_retry(0.0)
-
-
 @given(
     st.lists(
         st.tuples(
--- /dev/null
+++ b/tests/forward/test_fetch.py
@@ -0,0 +1,128 @@
+"""Sends, retries and hedges for one service."""
+
+import pytest
+
+from savorycross.forward import fetch as fetches
+from savorycross.route import route
+from tests.forward import world
+
+
+class Run:
+    """A fetch from a service of three targets."""
+
+    def __init__(self, engine=None, **fields):
+        self.engine = engine or world.FakeEngine()
+        if not self.engine.roster.states():
+            for name in 'abc':
+                self.engine.add_target(name, 's')
+        self.done = []
+        now = self.engine.time
+        self.fetch = fetches.Fetch(
+            self.engine,
+            world.make_call(received_at=now),
+            world.make_route(['s'], route.Shape.ONE, **fields),
+            's',
+            now + 1.0,
+            now + 0.05,
+            self.done.append,
+        )
+        self.fetch.start()
+
+    @property
+    def sends(self):
+        """The exchanges in the order of their sends."""
+        return self.engine.sends
+
+
+def _tokens(engine):
+    """Return how many retries the budget allows, by taking them."""
+    budget = engine.budget('s')
+    n = 0
+    while budget.take_retry(engine.time):
+        n += 1
+    return n
+
+
+def test_answer_of_the_first_target_ends_the_fetch():
+    run = Run()
+    run.sends[0].on_reply(world.reply())
+    assert run.fetch.state is fetches.State.ANSWERED
+    run.engine.advance(1.0)
+    assert len(run.sends) == 1
+
+
+def test_silent_target_is_hedged_once():
+    run = Run()
+    run.engine.advance(0.9)
+    assert len(run.sends) == 2
+    assert run.sends[0].state is not run.sends[1].state
+
+
+def test_route_limits_the_targets_that_run_a_call():
+    run = Run(attempts=2)
+    for n in range(2):
+        run.sends[n].on_reply(world.reply(500))
+    assert run.fetch.state is fetches.State.FAILED
+    assert len(run.sends) == 2
+
+
+def test_failure_of_the_target_is_kept_for_the_caller():
+    run = Run(attempts=1)
+    run.sends[0].on_reply(world.reply(500, body=b'why'))
+    assert run.fetch.reply.body == b'why'
+
+
+@pytest.mark.parametrize('was_sent', [True, False])
+def test_call_that_runs_once_is_sent_again_only_if_it_never_left(was_sent):
+    run = Run(is_idempotent=False)
+    run.sends[0].on_lost(was_sent, 'reset')
+    assert len(run.sends) == (1 if was_sent else 2)
+    assert run.fetch.may_have_run is was_sent
+
+
+def test_call_that_runs_once_is_never_hedged():
+    run = Run(is_idempotent=False)
+    run.engine.advance(0.9)
+    assert len(run.sends) == 1
+
+
+@pytest.mark.parametrize('reply', [{'Not_Run': b'1'}, {'stamp': b''}])
+def test_refusal_is_retried_for_any_call_but_other_failures_are_not(reply):
+    run = Run(is_idempotent=False)
+    run.sends[0].on_reply(world.reply(503, **reply))
+    assert len(run.sends) == (2 if 'Not_Run' in reply else 1)
+
+
+def test_misdirected_call_goes_to_another_target():
+    run = Run(is_idempotent=False)
+    run.sends[0].on_reply(world.reply(421, stamp=b''))
+    assert len(run.sends) == 2
+
+
+def test_each_send_after_the_first_is_paid_for_even_if_none_left():
+    plain = world.FakeEngine(slack=40.0)
+    plain.budget('s').earn()
+    expected = _tokens(plain)
+    run = Run(world.FakeEngine(slack=40.0))
+    n = 0
+    while run.fetch.state is fetches.State.RUNNING:
+        for exchange in run.sends[n:]:
+            n += 1
+            exchange.on_lost(False, 'connect: refused')
+        run.engine.advance(0.02)
+    assert n > 1
+    assert _tokens(run.engine) <= expected - (n - 1) + 1
+
+
+def test_spent_budget_stops_retries():
+    run = Run(world.FakeEngine(slack=0.0, is_first_start=False))
+    run.sends[0].on_reply(world.reply(500))
+    run.engine.advance(0.2)
+    assert len(run.sends) == 1
+    assert run.fetch.reason == 'no budget' or run.fetch.reason
+
+
+def test_cancelled_fetch_closes_its_connections():
+    run = Run()
+    run.fetch.cancel()
+    assert run.sends[0].connection.is_closed
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -9,12 +9,6 @@
     return target_state.TargetState(found, None, 0.0)
 
 
-def test_one_pause_weighs_little():
-    found = _make()
-    found.add_latency(15.0, 1.0)
-    assert found.slowness(1.0) < 2.5
-
-
 def test_slow_answers_in_a_row_count_in_full():
     found = _make()
     found.add_latency(10.0, 1.0)
@@ -30,20 +24,6 @@
     assert found.slowness(later) < 1.6
 
 
-def test_neighbours_word_counts_where_nothing_was_measured():
-    found = _make()
-    found.take_hint(10.0, 1.0)
-    assert found.slowness(1.0) == 7.0
-    assert found.measured_slowness(1.0, 1.0) == 1.0
-
-
-def test_own_fresh_sample_goes_before_a_neighbours_word():
-    found = _make()
-    found.add_latency(1.0, 1.0)
-    found.take_hint(10.0, 1.1)
-    assert found.slowness(1.1) == 1.0
-
-
 def test_failures_in_a_row_eject_for_longer_each_time():
     found = _make()
     assert not found.fail(0.0)
@@ -70,3 +50,10 @@
     assert found.suspicion(0.1) > 5
     found.end('a')
     assert found.suspicion(0.1) == 0.0
+
+
+def test_target_may_fail_without_end():
+    found = _make()
+    for _ in range(5000):
+        found.fail(0.0)
+    assert found.ejected_until == target_state.EJECT_MOST_S
