Bound extra sends by a sliding window; vital hedges first

The sliding window uses the whole share. Hedges without which an answer fails may use what others must leave. Change: a target whose address answers for another gets nothing more.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -31,6 +31,8 @@
         self._budgets = {}
         self._paces = {}
         self._instances = 1
+        self._started_at = self.now()
+        self._is_successor = not site.is_first_start
 
     def now(self):
         """Return the runtime clock time in seconds."""
@@ -53,8 +55,9 @@
         """Return the ExtraBudget of a service."""
         found = self._budgets.get(service)
         if found is None:
-            fraction = 1.0 if self._site.is_first_start else budgets.RESTART
-            found = budgets.ExtraBudget(self._site.extra, self.now(), fraction)
+            found = budgets.ExtraBudget(
+                self._site.extra, self._started_at, self._is_successor
+            )
             found.set_instances(self._instances)
             self._budgets[service] = found
         return found
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -31,11 +31,14 @@
     :param route: Route.
     :param service: name of the service.
     :param end_at: runtime clock time after which nothing is sent.
+    :param patient_until: time until which it waits for a usable target.
     :param on_done: called with the fetch when it is answered or failed.
+    :param is_vital: tells whether the call fails without this service.
     """
 
     __slots__ = (
         '_engine',
+        '_is_vital',
         '_live',
         '_on_done',
         '_timer',
@@ -54,7 +57,15 @@
     )
 
     def __init__(
-        self, engine, call, route, service, end_at, patient_until, on_done
+        self,
+        engine,
+        call,
+        route,
+        service,
+        end_at,
+        patient_until,
+        on_done,
+        is_vital=lambda: True,
     ):
         self.call = call
         self.route = route
@@ -70,12 +81,13 @@
         self.sends = 0
         self._engine = engine
         self._on_done = on_done
+        self._is_vital = is_vital
         self._live = set()
         self._timer = None
 
     def start(self):
         """Send to a first target."""
-        self._engine.budget(self.service).earn()
+        self._engine.budget(self.service).earn(self._engine.now())
         self._send_or_wait()
 
     def cancel(self):
@@ -115,7 +127,13 @@
             return
         if verdict is calls.Verdict.MISDIRECTED:
             self.runs -= 1
-            self._note_failure(attempt, now, 'misdirected')
+            attempt.state.note_misplaced(now)
+            self._engine.log.event(
+                'target.misplaced',
+                self.call.id.decode('latin-1'),
+                target=attempt.state.target.id,
+                service=self.service,
+            )
             self._retry(attempt, now, 'misdirected', was_run=False)
             return
         self._note_failure(attempt, now, verdict.value)
@@ -204,12 +222,9 @@
             self.reason = self.reason or 'no usable target'
             return False
         is_extra = self.sends > 0
-        if is_extra:
-            budget = engine.budget(self.service)
-            take = budget.take_hedge if is_hedge else budget.take_retry
-            if not take(now):
-                self.reason = self.reason or 'no budget'
-                return False
+        if is_extra and not self._take_budget(now, is_hedge):
+            self.reason = self.reason or 'no budget'
+            return False
         data = engine.dialect.encode_send(
             self.call, self.end_at - now, state.target.id
         )
@@ -229,6 +244,12 @@
             self._set_timer(now + delay, self._hedge)
         return True
 
+    def _take_budget(self, now, is_hedge):
+        budget = self._engine.budget(self.service)
+        if is_hedge:
+            return budget.take_hedge(now, self._is_vital())
+        return budget.take_retry(now)
+
     def _hedge(self):
         now = self._engine.now()
         if self.state is not State.RUNNING or now >= self.end_at:
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -32,7 +32,14 @@
         patient_until = max(objective_at, call.received_at + route.objective_s)
         self._fetches = [
             fetches.Fetch(
-                engine, call, route, name, end_at, patient_until, self._done
+                engine,
+                call,
+                route,
+                name,
+                end_at,
+                patient_until,
+                self._done,
+                self._is_vital,
             )
             for name in route.services
         ]
@@ -81,6 +88,10 @@
         most = len(self._fetches) - self._failed
         return most >= self._route.min_coverage * len(self._fetches) - 1e-9
 
+    def _is_vital(self):
+        """Whether too many parts are still out for an answer."""
+        return not self._is_enough
+
     def _done(self, fetch):
         if fetch.state is fetches.State.ANSWERED:
             self._answered.append(fetch)
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -28,7 +28,11 @@
         :param cold_limit: sends to a cold target in any second, or None.
         """
         open_ = [
-            s for s in states if s.target.id not in tried and s.pool.has_room
+            s
+            for s in states
+            if s.target.id not in tried
+            and s.pool.has_room
+            and s.misplaced_until <= now
         ]
         best = [s for s in open_ if not s.is_ejected(now)] or open_
         for state in sorted(
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -11,6 +11,9 @@
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 4.0
 MAX_DOUBLINGS = 10
+# Time for which a target is left alone whose address answers for another;
+# its entry is gone or written anew by then.
+MISPLACED_S = 10.0
 # Slowness of one target in a sample is cut here.
 MAX_SLOWNESS = 20.0
 # Cold targets take no more than this in one second where no rate is given.
@@ -34,6 +37,7 @@
         self.outstanding = {}
         self.failures = 0
         self.ejected_until = 0.0
+        self.misplaced_until = 0.0
         self.cold_until = 0.0
         self._slowness = 1.0
         self._sampled_at = now
@@ -84,6 +88,10 @@
         self.ejected_until = now + min(wait, EJECT_MOST_S)
         return True
 
+    def note_misplaced(self, now):
+        """Note that another target answers at the address."""
+        self.misplaced_until = now + MISPLACED_S
+
     def is_ejected(self, now):
         """Whether the target is left out for its failures."""
         return now < self.ejected_until
--- a/tests/forward/test_budget.py
+++ b/tests/forward/test_budget.py
@@ -9,21 +9,40 @@
 LIMITS = site.ExtraLimits(ratio=0.2, slack=40.0, window_s=10.0)
 
 
-def _make(fraction=1.0, instances=4):
-    found = budget.ExtraBudget(LIMITS, 0.0, fraction)
+def _make(is_successor=False, instances=4):
+    found = budget.ExtraBudget(LIMITS, 0.0, is_successor)
     found.set_instances(instances)
     return found
 
 
 def test_retries_may_use_what_hedges_leave():
     found = _make()
-    while found.take_hedge(0.0):
+    while found.take_hedge(0.0, is_vital=True):
         pass
     assert found.take_retry(0.0)
 
 
-def test_restarted_instance_starts_with_little():
-    assert not _make(fraction=0.1).take_retry(0.0)
+def test_vital_hedges_may_use_what_others_leave():
+    found = _make()
+    while found.take_hedge(0.0, is_vital=False):
+        pass
+    assert found.take_hedge(0.0, is_vital=True)
+
+
+def test_successor_is_given_the_slack_little_by_little():
+    found = _make(is_successor=True)
+    assert not found.take_retry(0.0)
+    assert found.take_retry(5.0)
+
+
+def test_share_is_whole_again_after_a_window():
+    found = _make()
+    n = 0
+    while found.take_retry(0.0):
+        n += 1
+    assert n == LIMITS.slack / 4
+    assert not found.take_retry(9.0)
+    assert found.take_retry(LIMITS.window_s + budget.SLOT_S)
 
 
 @given(
@@ -42,11 +61,11 @@
     for wait, step in steps:
         now += wait
         if step == 'earn':
-            found.earn()
+            found.earn(now)
             earned.append(now)
         elif step == 'retry' and found.take_retry(now):
             taken.append(now)
-        elif step == 'hedge' and found.take_hedge(now):
+        elif step == 'hedge' and found.take_hedge(now, True):
             taken.append(now)
     for start in taken:
         end = start + LIMITS.window_s
--- a/tests/forward/test_fetch.py
+++ b/tests/forward/test_fetch.py
@@ -101,7 +101,7 @@
 
 def test_each_send_after_the_first_is_paid_for_even_if_none_left():
     plain = world.FakeEngine(slack=40.0)
-    plain.budget('s').earn()
+    plain.budget('s').earn(plain.time)
     expected = _tokens(plain)
     run = Run(world.FakeEngine(slack=40.0))
     n = 0
@@ -126,3 +126,22 @@
     run = Run()
     run.fetch.cancel()
     assert run.sends[0].connection.is_closed
+
+
+def test_target_whose_address_went_to_another_gets_nothing_more():
+    engine = world.FakeEngine()
+    engine.add_target('a', 's')
+    run = Run(engine)
+    run.sends[0].on_reply(world.reply(421, stamp=b''))
+    run.engine.advance(0.01)
+    Run(engine)
+    assert len(engine.sends) == 1
+
+
+def test_new_incarnation_at_a_new_address_gets_work_again():
+    engine = world.FakeEngine()
+    engine.add_target('a', 's', born=1)
+    Run(engine).sends[0].on_reply(world.reply(421, stamp=b''))
+    engine.add_target('a', 's', born=2)
+    Run(engine)
+    assert len(engine.sends) == 2
