--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -156,7 +156,7 @@
     def _take_answer(self, attempt, reply, now):
         seconds = now - attempt.started_at
         pace = self._engine.pace(self.route)
-        attempt.state.succeed()
+        attempt.state.succeed(now)
         attempt.state.add_latency(seconds / pace.usual_s, now)
         pace.add(seconds, now)
         if self.state is not State.RUNNING:
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -3,6 +3,8 @@
 # What a target in another data centre must be faster by, in units of the
 # usual latency.
 REMOTE_COST = 1.5
+# A failure costs the time of two more sends and a part of the budget.
+FAILURE_COST = 4.0
 # Large services are sampled: one's own data centre first, then others.
 MAX_CANDIDATES = 6
 
@@ -45,7 +47,8 @@
     def score(self, state, now):
         """Return the expected latency in units of the usual one."""
         load = 1.0 + len(state.outstanding) / state.target.slots
-        found = (state.slowness(now) + state.suspicion(now)) * load
+        failures = FAILURE_COST * state.failure_rate(now)
+        found = (state.slowness(now) + state.suspicion(now) + failures) * load
         if state.target.data_centre != self._data_centre:
             found += REMOTE_COST
         return found + 0.01 * self._rng.random()
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -6,6 +6,8 @@
 HALF_LIFE_S = 1.0
 # A measured slowness is halved toward the usual after this time unused.
 FORGET_S = 3.0
+# Weight of one send in the rate of failures.
+TRIAL_WEIGHT = 0.3
 # Failures in a row after which a target is left out.
 MAX_FAILURES = 2
 EJECT_FIRST_S = 0.5
@@ -41,6 +43,8 @@
         self.cold_until = 0.0
         self._slowness = 1.0
         self._sampled_at = now
+        self._failure_rate = 0.0
+        self._tried_at = now
         self._cold_sends = []
 
     def slowness(self, now):
@@ -74,12 +78,19 @@
         self._slowness = current + weight * (ratio - current)
         self._sampled_at = now
 
-    def succeed(self):
+    def failure_rate(self, now):
+        """Return the share of sends that failed lately."""
+        age = now - self._tried_at
+        return self._failure_rate * 0.5 ** (age / FORGET_S)
+
+    def succeed(self, now):
         """Note an answer."""
         self.failures = 0
+        self._add_trial(0.0, now)
 
     def fail(self, now):
         """Note a failure; return True if the target is now ejected."""
+        self._add_trial(1.0, now)
         self.failures += 1
         if self.failures < MAX_FAILURES:
             return False
@@ -96,6 +107,11 @@
         """Whether the target is left out for its failures."""
         return now < self.ejected_until
 
+    def _add_trial(self, value, now):
+        current = self.failure_rate(now)
+        self._failure_rate = current + TRIAL_WEIGHT * (value - current)
+        self._tried_at = now
+
     def take_cold(self, now, limit):
         """Count a send to a cold target; return False beyond the limit.
 
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -31,7 +31,7 @@
     first = found.ejected_until
     assert found.fail(1.0)
     assert found.ejected_until - 1.0 > first
-    found.succeed()
+    found.succeed(1.0)
     assert not found.fail(2.0)
 
 
@@ -57,3 +57,14 @@
     for _ in range(5000):
         found.fail(0.0)
     assert found.ejected_until == target_state.EJECT_MOST_S
+
+
+def test_failures_raise_a_rate_that_answers_lower():
+    found = _make()
+    for t in range(4):
+        found.fail(float(t))
+    high = found.failure_rate(3.0)
+    assert high > 0.5
+    found.succeed(4.0)
+    assert found.failure_rate(4.0) < high
+    assert found.failure_rate(30.0) < 0.05
