--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -1,11 +1,9 @@
 """A call that all services of a set answer, each with a part."""
 
 from savorycross.forward import fetch as fetches
+from savorycross.forward import pace
 
 RECORD_BYTES = 16
-# Time from the decision to answer until the caller has the answer: one way
-# to the caller, merging, and the queue of the process.
-ANSWER_MARGIN_S = 0.008
 RETRY_AFTER_S = 0.1
 
 
@@ -51,7 +49,7 @@
     def start(self):
         """Ask all services."""
         call_at = self._engine.timers.call_at
-        answer_at = self._objective_at - ANSWER_MARGIN_S
+        answer_at = self._objective_at - pace.ANSWER_MARGIN_S
         self._timers = (
             call_at(answer_at, self._answer_if_enough),
             call_at(self._end_at, self._time_out),
@@ -103,7 +101,7 @@
             self._finish()
         elif not self._is_reachable:
             self._finish()
-        elif self._engine.now() >= self._objective_at - ANSWER_MARGIN_S:
+        elif self._engine.now() >= self._objective_at - pace.ANSWER_MARGIN_S:
             self._answer_if_enough()
 
     def _answer_if_enough(self):
--- a/savorycross/forward/pace.py
+++ b/savorycross/forward/pace.py
@@ -5,9 +5,14 @@
 HEDGE_PERCENTILE = 92.0
 # Many slow targets spoil high quantiles, but hardly the median.
 MAX_MEDIANS = 2.5
+# A hedge is early enough if this many of its own high quantiles are left
+# until the objective.
+HEDGE_QUANTILES = 2.0
 # Hedges go out between these shares of the route's objective.
 EARLIEST_HEDGE = 0.12
-LATEST_HEDGE = 0.4
+LATEST_HEDGE = 0.45
+# Time from the last part until the caller has the answer.
+ANSWER_MARGIN_S = 0.008
 REFRESH_S = 0.5
 # Latency assumed while there are no samples, by the objective.
 FIRST_USUAL = 0.2
@@ -47,6 +52,8 @@
             if found is not None:
                 median = self._window.quantile(50.0)
                 found = min(found, MAX_MEDIANS * median)
+                latest = self._objective_s - HEDGE_QUANTILES * found
+                found = max(found, latest - ANSWER_MARGIN_S)
                 low = EARLIEST_HEDGE * self._objective_s
                 high = LATEST_HEDGE * self._objective_s
                 self._delay_s = min(max(found, low), high)
