Let many instances read the store less often

Change: the pause after changes grows with the number of instances up to 1 s, waits of a watch are 20 s from 8 instances on (peers' revisions and keep-alive probes still show a silent watch).

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -6,8 +6,14 @@
 
 # The store answers a watch within this time even if nothing changed.
 WATCH_WAIT_S = 10.0
-# Changes that come close together are read with one call.
+LONG_WATCH_WAIT_S = 20.0
+# Changes that come close together are read with one call. The store's
+# rates grow more slowly than the number of instances, so many instances
+# read less often each, within the seconds in which changes are due.
 COALESCE_S = 0.3
+COALESCE_MOST_S = 1.0
+COALESCE_PER_INSTANCE_S = 0.04
+MANY_INSTANCES = 8
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
 
@@ -19,13 +25,17 @@
     :param mirror: Mirror.
     :param log: EventLog.
     :param on_synced: called after each answer.
+    :param count: callable that returns the number of instances.
     """
 
-    def __init__(self, store, mirror, log, on_synced=lambda: None):
+    def __init__(
+        self, store, mirror, log, on_synced=lambda: None, count=lambda: 1
+    ):
         self._store = store
         self._mirror = mirror
         self._log = log
         self._on_synced = on_synced
+        self._count = count
         self._scope = trio.CancelScope()
         self._failed_at = None
         self.answered_at = None
@@ -85,13 +95,16 @@
         self._log.event('store.listed', items=len(keys), revision=first)
 
     async def _watch(self):
-        page = await self._store.watch(self._mirror.revision, WATCH_WAIT_S)
+        n = self._count()
+        wait_s = WATCH_WAIT_S if n < MANY_INSTANCES else LONG_WATCH_WAIT_S
+        page = await self._store.watch(self._mirror.revision, wait_s)
         self._note_answer()
         self._take(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
         self._on_synced()
         if page.items:
-            await trio.sleep(COALESCE_S)
+            pause_s = max(COALESCE_S, n * COALESCE_PER_INSTANCE_S)
+            await trio.sleep(min(pause_s, COALESCE_MOST_S))
 
     def _take(self, items):
         now = trio.current_time()
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -96,7 +96,11 @@
             self._site.store_address, self._nursery
         )
         self._follower = followers.Follower(
-            self._store, self._mirror, self.log, self._on_synced
+            self._store,
+            self._mirror,
+            self.log,
+            self._on_synced,
+            lambda: self._peers.count(trio.current_time()),
         )
 
     def _make_fleet(self):
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -68,3 +68,20 @@
     await trio.sleep(5)
     copy.release(trio.current_time())
     assert sorted(copy.items) == ['b']
+
+
+async def test_many_instances_read_a_burst_of_changes_with_few_calls(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    copy = mirror.Mirror(lambda key, found: None)
+    found = follower.Follower(store, copy, log.NullLog(), count=lambda: 28)
+    nursery.start_soon(found.run)
+    await trio.sleep(1)
+    store.calls.clear()
+    for n in range(50):
+        store.put_value(f'k{n}', b'x')
+        await trio.sleep(0.1)
+    await trio.sleep(1)
+    assert len(copy.items) == 50
+    assert len(store.calls) <= 8
