End a watch before the first change that counts after an outage

Ruled out: keep-alive probes, which the connection answered; a cut of single instances (store.lost on all at 27.7 s). Change: a watch waits no longer than the settings' bounds allow.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -4,36 +4,57 @@
 
 from savorycross import errors
 
-# The store answers a watch within this time even if nothing changed.
-WATCH_WAIT_S = 10.0
-LONG_WATCH_WAIT_S = 20.0
+# A watch is answered after its waiting time; this much later it is dead.
+WATCH_GRACE_S = 1.0
+SHORTEST_WAIT_S = 1.0
+LONGEST_WAIT_S = 20.0
 # Changes that come close together are read with one call. The store's
 # rates grow more slowly than the number of instances, so many instances
 # read less often each, within the seconds in which changes are due.
 COALESCE_S = 0.3
 COALESCE_MOST_S = 1.0
 COALESCE_PER_INSTANCE_S = 0.04
-MANY_INSTANCES = 8
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
 
 
+def watch_wait(settled_s, applied_s):
+    """Return for how many seconds a watch may wait.
+
+    A watch that the store took during an outage may stay silent for good.
+    It must end before the first change is due that counts again.
+
+    :param settled_s: time after an outage from which changes count.
+    :param applied_s: time in which a change must be in force.
+    """
+    found = settled_s + applied_s - WATCH_GRACE_S - COALESCE_MOST_S - 0.5
+    return min(max(found, SHORTEST_WAIT_S), LONGEST_WAIT_S)
+
+
 class Follower:
     """Lists the store's items once, then watches for changes.
 
     :param store: ItemStore.
     :param mirror: Mirror.
     :param log: EventLog.
+    :param wait_s: seconds for which a watch waits for changes.
     :param on_synced: called after each answer.
     :param count: callable that returns the number of instances.
     """
 
     def __init__(
-        self, store, mirror, log, on_synced=lambda: None, count=lambda: 1
+        self,
+        store,
+        mirror,
+        log,
+        wait_s,
+        on_synced=lambda: None,
+        count=lambda: 1,
     ):
         self._store = store
         self._mirror = mirror
         self._log = log
+        self._wait_s = wait_s
         self._on_synced = on_synced
         self._count = count
         self._scope = trio.CancelScope()
@@ -95,15 +116,16 @@
         self._log.event('store.listed', items=len(keys), revision=first)
 
     async def _watch(self):
-        n = self._count()
-        wait_s = WATCH_WAIT_S if n < MANY_INSTANCES else LONG_WATCH_WAIT_S
-        page = await self._store.watch(self._mirror.revision, wait_s)
+        with trio.move_on_after(self._wait_s + WATCH_GRACE_S) as scope:
+            page = await self._store.watch(self._mirror.revision, self._wait_s)
+        if scope.cancelled_caught:
+            raise errors.StoreUnavailableError('watch stayed silent')
         self._note_answer()
         self._take(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
         self._on_synced()
         if page.items:
-            pause_s = max(COALESCE_S, n * COALESCE_PER_INSTANCE_S)
+            pause_s = max(COALESCE_S, self._count() * COALESCE_PER_INSTANCE_S)
             await trio.sleep(min(pause_s, COALESCE_MOST_S))
 
     def _take(self, items):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -99,6 +99,7 @@
             self._store,
             self._mirror,
             self.log,
+            followers.watch_wait(self._site.settled_s, self._site.applied_s),
             self._on_synced,
             lambda: self._peers.count(trio.current_time()),
         )
--- a/savorycross/gateway/site.py
+++ b/savorycross/gateway/site.py
@@ -41,6 +41,8 @@
     :param seeds: peer addresses of other instances, maybe stale.
     :param is_first_start: whether the whole system starts anew.
     :param grace_s: seconds from the stop signal to the end.
+    :param settled_s: seconds after an outage from which bounds hold again.
+    :param applied_s: seconds in which a change must be in force.
     :param keep_s: seconds for which callers keep the entry answer.
     """
 
@@ -55,6 +57,8 @@
     seeds: tuple[tuple[str, int], ...]
     is_first_start: bool
     grace_s: float
+    settled_s: float
+    applied_s: float
     keep_s: float
     extra: ExtraLimits
     cold: ColdLimits
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -12,7 +12,10 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    drain_ms: int = 3000
+    # Time without disruption after which time bounds hold.
+    contact_ms: float = 4000
+    drain_ms: float = 3000
+    apply_ms: float = 3000
     grace_s: float = 6.0
     ttl_max_s: float = 5.0
     retry_ratio: float = 0.2
@@ -82,6 +85,8 @@
         ),
         is_first_start=found.bootstrap,
         grace_s=bounds.grace_s,
+        settled_s=bounds.contact_ms / 1000,
+        applied_s=min(bounds.apply_ms, bounds.drain_ms) / 1000,
         keep_s=min(site.ENTRY_KEEP_S, bounds.ttl_max_s),
         extra=site.ExtraLimits(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -1,6 +1,7 @@
 """Calls of the platform's store."""
 
 import base64
+import math
 import urllib.parse
 
 import msgspec
@@ -10,8 +11,6 @@
 from savorycross.wire import client
 
 CALL_TIMEOUT_S = 1.5
-# A watch is answered after its waiting time; this much later it is dead.
-WATCH_GRACE_S = 1.5
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -65,7 +64,7 @@
             'wait_ms': int(wait_s * 1000),
         }
         reply = await self._call(
-            b'GET', '/v1/kv-watch', query, timeout_s=wait_s + WATCH_GRACE_S
+            b'GET', '/v1/kv-watch', query, timeout_s=math.inf
         )
         if reply.status == 410:
             raise errors.HistoryGoneError(f'revision {revision}')
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -13,6 +13,7 @@
         self.items = {}
         self.revision = 1
         self.is_down = False
+        self.is_silent = False
         self.oldest = 0
         self.calls = []
         self._events = []
@@ -46,6 +47,8 @@
         self._check('watch')
         if revision < self.oldest:
             raise errors.HistoryGoneError(f'revision {revision}')
+        if self.is_silent:
+            await trio.sleep_forever()
         with trio.move_on_after(wait_s):
             while self.revision <= revision:
                 await self._changed.wait()
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -8,13 +8,15 @@
 from savorycross.events import log
 from tests.discovery import fakes
 
+WAIT_S = 4.5
+
 
 @pytest.fixture
 async def world(nursery, autojump_clock):
     store = fakes.FakeStore()
     store.put_value('a', b'1')
     copy = mirror.Mirror(lambda key, found: None)
-    found = follower.Follower(store, copy, log.NullLog())
+    found = follower.Follower(store, copy, log.NullLog(), WAIT_S)
     nursery.start_soon(found.run)
     await trio.sleep(1)
     return store, copy, found
@@ -53,7 +55,7 @@
     store, _, _ = world
     store.calls.clear()
     await trio.sleep(60)
-    assert len(store.calls) <= 60 / follower.WATCH_WAIT_S + 1
+    assert len(store.calls) <= 60 / WAIT_S + 1
 
 
 async def test_incomplete_copy_is_completed_by_a_listing(world):
@@ -75,7 +77,9 @@
 ):
     store = fakes.FakeStore()
     copy = mirror.Mirror(lambda key, found: None)
-    found = follower.Follower(store, copy, log.NullLog(), count=lambda: 28)
+    found = follower.Follower(
+        store, copy, log.NullLog(), WAIT_S, count=lambda: 28
+    )
     nursery.start_soon(found.run)
     await trio.sleep(1)
     store.calls.clear()
@@ -85,3 +89,21 @@
     await trio.sleep(1)
     assert len(copy.items) == 50
     assert len(store.calls) <= 8
+
+
+async def test_watch_that_died_in_an_outage_ends_before_changes_count(world):
+    store, copy, _ = world
+    settled_s, applied_s = 4.0, 3.0
+    store.is_silent = True
+    await trio.sleep(WAIT_S)
+    # The outage ends just after the watch began anew.
+    store.is_silent = False
+    store.put_value('b', b'2')
+    await trio.sleep(settled_s + applied_s)
+    assert sorted(copy.items) == ['a', 'b']
+
+
+def test_wait_follows_the_bounds():
+    assert follower.watch_wait(4.0, 3.0) == WAIT_S
+    assert follower.watch_wait(100.0, 100.0) == follower.LONGEST_WAIT_S
+    assert follower.watch_wait(0.0, 0.0) == follower.SHORTEST_WAIT_S
