--- a/savorycross/events/log.py
+++ b/savorycross/events/log.py
@@ -5,6 +5,8 @@
 
 import loguru
 
+from savorycross.events import sink
+
 # Lines a second for each name of event, and the burst on top.
 LINES_PER_S = 10.0
 BURST_LINES = 30.0
@@ -50,16 +52,7 @@
         self._logger.info(event, **fields)
 
 
-class NullLog:
-    """Drops all events."""
-
-    def event(self, event, request='', **fields):
-        """Drop an event."""
-
-
 def configure(stream=None):
     """Send the lines of all event logs to standard output as JSON."""
-    from savorycross.events import sink
-
     loguru.logger.remove()
     loguru.logger.add(sink.Sink(stream or sys.stdout), format='{message}')
--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -13,7 +13,6 @@
         'data',
         'fetch',
         'is_head',
-        'is_retry',
         'started_at',
         'state',
     )
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -54,9 +54,6 @@
     def stamp(self, reply) -> bytes:
         """Return the target's signature in a reply."""
 
-    def cold_s(self, reply) -> float:
-        """Return seconds for which the target says that it is cold."""
-
     def make_merged(self, stamps, missed, body):
         """Return the Reply that merges several targets' replies."""
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -77,7 +77,7 @@
         states = self.roster.usable(service)
         return self._picker.pick(states, tried, now, self._cold_limit(service))
 
-    def count_send(self, service, is_extra):
+    def count_send(self, is_extra):
         """Count a send."""
         self.metrics.count('sends', kind='extra' if is_extra else 'first')
 
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -238,7 +238,7 @@
         self.tried.add(state.target.id)
         self.sends += 1
         self.runs += 1
-        engine.count_send(self.service, is_extra)
+        engine.count_send(is_extra)
         if self.route.is_idempotent and self._may_send_more():
             delay = engine.pace(self.route).hedge_delay(now)
             self._set_timer(now + delay, self._hedge)
--- a/savorycross/forward/single.py
+++ b/savorycross/forward/single.py
@@ -4,8 +4,6 @@
 
 # A call that found no target waits this share of its objective for one.
 PATIENCE = 0.2
-# Time to tell the caller before its own deadline.
-ANSWER_MARGIN_S = 0.02
 RETRY_AFTER_S = 0.1
 
 
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -36,6 +36,7 @@
 METRICS_TYPE = b'text/plain; version=0.0.4'
 # Part of the grace time that is left when the instance ends anyway.
 STOP_MARGIN_S = 0.5
+STOP_CHECK_S = 0.05
 # Callers keep an entry answer up to this many times its time.
 KEEP_FACTOR = 3.5
 
@@ -282,7 +283,7 @@
         while (now := trio.current_time()) < end_at:
             if now >= quiet_at and not self._callers.busy:
                 break
-            await trio.sleep(0.05)
+            await trio.sleep(STOP_CHECK_S)
         self.log.event('instance.stopped', cut=self._callers.busy)
 
 
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -7,7 +7,6 @@
 _DEADLINE = b'deadline-ms'
 _STAMP = b'server-stamp'
 _NOT_RUN = b'not-run'
-_COLD = b'cold-ms'
 # Headers that are set anew for each send.
 _OWN = messages.HOP_BY_HOP | {_DEADLINE, b'expect-instance'}
 
@@ -80,13 +79,6 @@
         """Return the target's signature in a reply."""
         return reply.header(_STAMP)
 
-    def cold_s(self, reply):
-        """Return seconds for which the target says that it is cold."""
-        value = reply.header(_COLD)
-        if value is None or not value.isdigit():
-            return 0.0
-        return int(value) / 1000
-
     def make_merged(self, stamps, missed, body):
         """Return the Reply that merges several targets' replies."""
         headers = (
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -29,7 +29,6 @@
     front: str
     ready: str
     directory: str
-    control: str = ''
 
 
 class _Platform(msgspec.Struct, frozen=True):
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -13,6 +13,9 @@
 
 SWEEP_INTERVAL_S = 0.2
 ACCEPT_BACKLOG = 1024
+# A last reply may take this long to leave.
+LINGER_S = 1.0
+LINGER_CHECK_S = 0.01
 # Requests sent ahead on one connection beyond this end it.
 MAX_QUEUED_REQUESTS = 32
 # Limits in force until a configuration names others.
@@ -221,9 +224,9 @@
         self._server.start_soon(self._linger)
 
     async def _linger(self):
-        with trio.move_on_after(1.0):
+        with trio.move_on_after(LINGER_S):
             while self._transport.has_pending:
-                await trio.sleep(0.01)
+                await trio.sleep(LINGER_CHECK_S)
         self._transport.close()
 
     def _reject(self, status):
--- a/standins/kv_model.py
+++ b/standins/kv_model.py
@@ -44,11 +44,6 @@
         self.revision += 1
         self._note({'key': key, 'rev': self.revision, 'removed': True})
 
-    def touch(self, key, value):
-        """Write a value without waking watches, as a heartbeat does."""
-        if key in self.items:
-            self.items[key].value = value
-
     def compact(self):
         """Forget the history."""
         self._oldest = self.revision
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -5,8 +5,8 @@
 
 from savorycross.discovery import follower
 from savorycross.discovery import mirror
-from savorycross.events import log
 from tests.discovery import fakes
+from tests import null_log
 
 WAIT_S = 4.5
 
@@ -16,7 +16,7 @@
     store = fakes.FakeStore()
     store.put_value('a', b'1')
     copy = mirror.Mirror(lambda key, found: None)
-    found = follower.Follower(store, copy, log.NullLog(), WAIT_S)
+    found = follower.Follower(store, copy, null_log.NullLog(), WAIT_S)
     nursery.start_soon(found.run)
     await trio.sleep(1)
     return store, copy, found
@@ -78,7 +78,7 @@
     store = fakes.FakeStore()
     copy = mirror.Mirror(lambda key, found: None)
     found = follower.Follower(
-        store, copy, log.NullLog(), WAIT_S, count=lambda: 28
+        store, copy, null_log.NullLog(), WAIT_S, count=lambda: 28
     )
     nursery.start_soon(found.run)
     await trio.sleep(1)
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -6,10 +6,10 @@
 
 from savorycross.discovery import item
 from savorycross.discovery import mirror
-from savorycross.events import log
 from savorycross.fleet import exchange
 from savorycross.fleet import heartbeat
 from savorycross.wire import server
+from tests import null_log
 
 
 @dataclasses.dataclass
@@ -38,7 +38,7 @@
     mine.apply(item.Item('gone', 2, b'x'), 0.0)
     mine.is_complete = True
     tested = exchange.Exchange(
-        mine, Down(), None, log.NullLog(), lambda: None, nursery
+        mine, Down(), None, null_log.NullLog(), lambda: None, nursery
     )
     peer = heartbeat.Peer('p', 1, 'bilbo', address, address)
     await tested._copy(Ahead(peer, has_store))
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -2,9 +2,9 @@
 
 import random
 
-from savorycross.events import log
 from savorycross.fleet import heartbeat
 from savorycross.fleet import peers
+from tests import null_log
 
 
 def _peer(name, data_centre='bilbo', started_at=1):
@@ -36,7 +36,7 @@
 
     def add(self, peer):
         """Add an instance."""
-        self.members[peer.name] = peers.Peers(peer, log.NullLog())
+        self.members[peer.name] = peers.Peers(peer, null_log.NullLog())
 
     def run(self, seconds):
         """Exchange heartbeats for a time."""
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -3,7 +3,6 @@
 import random
 
 from savorycross.discovery import target
-from savorycross.events import log
 from savorycross.forward import call as calls
 from savorycross.forward import engine
 from savorycross.forward import picker
@@ -14,6 +13,7 @@
 from savorycross.route import route
 from savorycross.wire import messages
 from savorycross.wire import timers
+from tests import null_log
 
 ID = b'request-1'
 
@@ -64,7 +64,7 @@
         self.pools = {}
         self.sends = []
         self.site = make_site(slack, is_first_start)
-        found_log = log.NullLog()
+        found_log = null_log.NullLog()
         super().__init__(
             self.site,
             dialect.PlatformDialect(),
