--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -12,7 +12,7 @@
 
 
 @pytest.fixture
-async def world(nursery, autojump_clock):
+async def world(nursery):
     store = fakes.FakeStore()
     store.put_value('a', b'1')
     copy = mirror.Mirror(lambda key, found: None)
@@ -22,14 +22,14 @@
     return store, copy, found
 
 
-async def test_listing_and_watch_bring_all_items(world):
+async def test_listing_and_watch_bring_all_items(world, autojump_clock):
     store, copy, _ = world
     store.put_value('b', b'2')
     await trio.sleep(1)
     assert sorted(copy.items) == ['a', 'b']
 
 
-async def test_lost_history_is_listed_anew(world):
+async def test_lost_history_is_listed_anew(world, autojump_clock):
     store, copy, _ = world
     store.is_down = True
     store.put_value('b', b'2')
@@ -42,7 +42,7 @@
     assert sorted(copy.items) == ['b']
 
 
-async def test_outage_keeps_what_is_known(world):
+async def test_outage_keeps_what_is_known(world, autojump_clock):
     store, copy, found = world
     store.is_down = True
     store.put_value('b', b'2')
@@ -51,14 +51,16 @@
     assert not found.is_connected
 
 
-async def test_quiet_store_gets_few_calls(world):
+async def test_quiet_store_gets_few_calls(world, autojump_clock):
     store, _, _ = world
     store.calls.clear()
     await trio.sleep(60)
     assert len(store.calls) <= 60 / WAIT_S + 1
 
 
-async def test_incomplete_copy_is_completed_by_a_listing(world):
+async def test_incomplete_copy_is_completed_by_a_listing(
+    world, autojump_clock
+):
     store, copy, _ = world
     store.is_down = True
     store.put_value('b', b'2')
@@ -91,7 +93,9 @@
     assert len(store.calls) <= 8
 
 
-async def test_watch_that_died_in_an_outage_ends_before_changes_count(world):
+async def test_watch_that_died_in_an_outage_ends_before_changes_count(
+    world, autojump_clock
+):
     store, copy, _ = world
     settled_s, applied_s = 4.0, 3.0
     store.is_silent = True
