--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -1,5 +1,7 @@
 """A copy of the store's items on one instance."""
 
+from savorycross.events import failure
+
 # Entries that lapsed while the store was away return within 2 s of its
 # return; a little more lets the last of them arrive.
 RETURN_HOLD_S = 2.2
@@ -37,7 +39,7 @@
             self._removed.pop(key, None)
             self.items[key] = item
             if known is None or known.value != item.value:
-                self._on_change(key, item)
+                self._tell(key, item)
             return
         self._removed[key] = item.revision
         if known is not None:
@@ -61,7 +63,7 @@
             known = self.items.get(key)
             if known is not None and known.revision == revision:
                 del self.items[key]
-                self._on_change(key, None)
+                self._tell(key, None)
 
     def _remove(self, key, now):
         if now < self._hold_until:
@@ -69,4 +71,11 @@
             return
         del self.items[key]
         self._held.pop(key, None)
-        self._on_change(key, None)
+        self._tell(key, None)
+
+    def _tell(self, key, item):
+        try:
+            self._on_change(key, item)
+        except Exception as exc:
+            # One item that cannot be handled must not hide the others.
+            failure.report(f'change of {key[:80]}', exc)
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -7,6 +7,7 @@
 import httptools
 import trio
 
+from savorycross.events import failure
 from savorycross.wire import messages
 from savorycross.wire import transport as transports
 
@@ -85,13 +86,23 @@
         try:
             with self._scope:
                 reason = await self._connect_and_read()
+        except Exception as exc:
+            reason = 'internal error'
+            failure.report('target connection', exc)
         finally:
-            if self._transport is not None:
-                self._transport.close()
-            self._on_closed(self)
-            exchange, self._exchange = self._exchange, None
-            if exchange is not None:
-                exchange.on_lost(self._was_sent, reason)
+            self._end(reason)
+
+    def _end(self, reason):
+        if self._transport is not None:
+            self._transport.close()
+        self._on_closed(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            return
+        try:
+            exchange.on_lost(self._was_sent, reason)
+        except Exception as exc:
+            failure.report('end of a target connection', exc)
 
     async def _connect_and_read(self):
         try:
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -8,6 +8,7 @@
 import httptools
 import trio
 
+from savorycross.events import failure
 from savorycross.wire import messages
 from savorycross.wire import transport as transports
 
@@ -93,6 +94,8 @@
                 self._feed(data)
         except (OSError, trio.ClosedResourceError):
             pass
+        except Exception as exc:
+            failure.report('caller connection', exc)
         finally:
             self._end()
 
--- a/savorycross/wire/timers.py
+++ b/savorycross/wire/timers.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from savorycross.events import failure
+
 
 class Timer:
     """A callback that is due at a time, unless it is cancelled."""
@@ -50,6 +52,13 @@
         while heap and heap[0][0] <= now:
             timer = heapq.heappop(heap)[2]
             if timer.callback is not None:
-                timer.callback()
+                self._call(timer)
         while heap and heap[0][2].callback is None:
             heapq.heappop(heap)
+
+    @staticmethod
+    def _call(timer):
+        try:
+            timer.callback()
+        except Exception as exc:
+            failure.report('timer', exc)
--- a/tests/discovery/test_mirror.py
+++ b/tests/discovery/test_mirror.py
@@ -57,3 +57,17 @@
     found.apply(item.Item('a', 5, b'x'), 0.0)
     found.apply(item.Item('a', 6, b'x'), 0.0)
     assert len(changes) == 1
+
+
+def test_item_that_cannot_be_handled_does_not_hide_others():
+    seen = []
+
+    def change(key, found):
+        if key == 'bad':
+            raise KeyError(key)
+        seen.append(key)
+
+    found = mirror.Mirror(change)
+    found.apply(item.Item('bad', 1, b'x'), 0.0)
+    found.apply(item.Item('good', 2, b'x'), 0.0)
+    assert seen == ['good']
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -191,3 +191,13 @@
     while len(data) < len(body):
         data += await world.read()
     assert data.endswith(body[-100:])
+
+
+async def test_failing_handler_ends_its_connection_alone(world):
+    def fail(request, respond):
+        raise ValueError('broken')
+
+    world.server.handle = fail
+    await world.stream.send_all(GET)
+    assert await world.read_all() == b''
+    assert not world.server._connections
