Log successes seldom; end well on a stop signal during the start

Change: successes get 0.5 lines a second, fields are made when a line is written; the stop signal is handled from the first line on, and the soak asks for status 0 of processes that have started.

--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -8,6 +8,8 @@
 # Time before the end of a request in which its failure is told.
 END_MARGIN_S = 0.01
 NOT_READY_RETRY_S = 0.5
+# Events that tell of nothing but success.
+SUCCESSES = ('request.answered',)
 
 
 class Gateway:
@@ -85,10 +87,10 @@
         self._engine.log.event(
             f'request.{outcome}',
             call.id.decode('latin-1'),
+            lambda: running.detail,
             route=route.name,
             version=version,
             after_s=round(seconds, 4),
-            **running.detail,
         )
 
     def _refuse(self, call, respond, status, reason):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -55,7 +55,9 @@
         self._adapter = adapter
         self._read_site = read_site
         self._nursery = nursery
-        self.log = logs.EventLog(site.name, trio.current_time)
+        self.log = logs.EventLog(
+            site.name, trio.current_time, gateways.SUCCESSES
+        )
         self.metrics = registry.Registry()
         self._rng = random.Random()
         self._timers = timers_module.Timers()
--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -15,6 +15,8 @@
     # A reload signal before the instance listens for it, or after, must
     # not end the process. Imports take time, so they come later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Before it listens there is nothing to finish.
+    signal.signal(signal.SIGTERM, _end)
     import trio
 
     from savorycross.events import log
@@ -33,6 +35,10 @@
     return 0
 
 
+def _end(number, frame):
+    sys.exit(0)
+
+
 def _port(arguments):
     """Return the one argument, a TCP port.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -90,7 +90,8 @@
             found.send(signal.SIGHUP)
         with trio.move_on_after(8):
             status = await found.wait()
-            if status:
+            # A signal during the interpreter's own start ends the process.
+            if status and found.has_started:
                 self._world.checks.fail('exit', f'{found.name}: {status}')
         found.kill()
         found.start()
--- a/soak/process.py
+++ b/soak/process.py
@@ -55,8 +55,18 @@
         self.stopping = False
         self._seeds = seeds
         self._folder = folder
+        self._log_path = folder / f'{name}.log'
+        self._log_path.touch()
+        self._log_start = 0
         self._process = None
 
+    @property
+    def has_started(self):
+        """Whether the process has told that it started."""
+        with open(self._log_path, 'rb') as log:
+            log.seek(self._log_start)
+            return b'instance.started' in log.read()
+
     @property
     def is_running(self):
         """Whether the process is there."""
@@ -71,7 +81,8 @@
         self.write_settings()
         self.incarnation += 1
         self.stopping = False
-        log = open(self._folder / f'{self.name}.log', 'ab')
+        self._log_start = self._log_path.stat().st_size
+        log = open(self._log_path, 'ab')
         with log:
             self._process = subprocess.Popen(
                 [
--- a/tests/events/test_log.py
+++ b/tests/events/test_log.py
@@ -67,3 +67,18 @@
             loguru.logger.remove(handler)
         last = os.read(source.fileno(), 1 << 20).splitlines()[-1]
     assert json.loads(last)['lines_lost'] > 0
+
+
+def test_successes_are_logged_less_often_and_without_their_cost(lines):
+    clock = Clock()
+    found = log.EventLog('entry-1', clock, ('ok',))
+    made = []
+    for second in range(100):
+        clock.now = float(second)
+        found.event('ok', detail=lambda: made.append(1) or {'a': 1})
+        found.event('bad')
+        found.event('bad')
+    names = [record['message'] for record in lines]
+    assert names.count('ok') <= log.BURST_LINES + 50
+    assert len(made) == names.count('ok')
+    assert names.count('bad') == 200
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -28,6 +28,14 @@
     assert 'survived' in found.stderr
 
 
+def test_stop_signal_during_the_start_ends_the_process_well():
+    early = EARLY_SIGNAL.replace('SIGHUP', 'SIGTERM')
+    found = subprocess.run(
+        [sys.executable, '-c', early], capture_output=True, text=True
+    )
+    assert found.returncode == 0, found.stderr
+
+
 @pytest.mark.parametrize('arguments', [[], ['x'], ['0'], ['1', '2']])
 def test_wrong_arguments_are_told(arguments):
     found = subprocess.run(
