Split addresses in one place; let the platform's folder decide nothing

The platform's settings, its entries and the soak each took addresses apart again, beside settings.split_address, which could not be imported without pydantic. It stands in host_port now and serves all. Entries with leading zeros in an octet are refused, as ipaddress does. How long callers keep an answer and when changes are due were worked out in platform/settings; Site does it, the folder hands the bounds over. Requests and replies share one look-up of headers.

--- a/savorycross/cli/instances.py
+++ b/savorycross/cli/instances.py
@@ -11,6 +11,7 @@
 from savorycross.entry import status
 from savorycross import errors
 from savorycross.events import journal
+from savorycross import host_port
 from savorycross import settings
 
 DEFAULT_ENTRIES = '127.0.0.1:7001'
@@ -26,9 +27,9 @@
         settings.PREFIX + 'ENTRIES', DEFAULT_ENTRIES
     )
     found = [part.strip() for part in str(text).split(',') if part.strip()]
-    for address in found:
+    for part in found:
         try:
-            settings.split_address(address)
+            host_port.split(part)
         except ValueError as exc:
             raise errors.UsageError(f'entries: {exc}') from exc
     return found
--- a/savorycross/cli/sheet.py
+++ b/savorycross/cli/sheet.py
@@ -12,6 +12,7 @@
 from savorycross.cli import deferred
 from savorycross.cli import instances
 from savorycross import errors
+from savorycross import host_port
 from savorycross import settings
 from savorycross.sheet import check
 from savorycross.sheet import diff
@@ -94,7 +95,7 @@
         settings.PREFIX + 'PLATFORM', DEFAULT_PLATFORM
     )
     try:
-        return http.HttpStore(settings.split_address(str(text)))
+        return http.HttpStore(host_port.split(str(text)))
     except ValueError as exc:
         raise errors.UsageError(f'platform {text!r}: {exc}') from exc
 
--- a/savorycross/daemon/serve.py
+++ b/savorycross/daemon/serve.py
@@ -14,13 +14,13 @@
 from savorycross.daemon import stop
 from savorycross.entry import app as apps
 from savorycross import errors
+from savorycross import host_port
 from savorycross.membership import member
 from savorycross.ownership import rendezvous
 from savorycross.peer import datagrams
 from savorycross.peer import link
 from savorycross.relay import hedge
 from savorycross.relay import policy
-from savorycross import settings as settings_module
 from savorycross.store import http
 from savorycross.target import link as target_link
 
@@ -34,7 +34,7 @@
     :param settings: Settings.
     """
     log = logs.make_logger(settings.name)
-    store = http.HttpStore(settings_module.split_address(settings.platform))
+    store = http.HttpStore(host_port.split(settings.platform))
     own = make_member(settings)
     seeds = await find_seeds(settings, store, log)
     async with trio.open_nursery() as nursery:
@@ -92,7 +92,7 @@
 async def find_seeds(settings, store, log):
     """Return members to ask at first, from settings and the platform."""
     found = [
-        _make_seed(*settings_module.split_address(part))
+        _make_seed(*host_port.split(part))
         for part in settings.seeds.split(',')
         if part
     ]
--- a/savorycross/gateway/site.py
+++ b/savorycross/gateway/site.py
@@ -42,8 +42,9 @@
     :param is_first_start: whether the whole system starts anew.
     :param grace_s: seconds from the stop signal to the end.
     :param settled_s: seconds after an outage from which bounds hold again.
-    :param applied_s: seconds in which a change must be in force.
-    :param keep_s: seconds for which callers keep the entry answer.
+    :param apply_s: seconds in which a configuration must be in force.
+    :param drain_s: seconds after which a leaving target gets nothing.
+    :param keep_most_s: most seconds for which callers keep the entry answer.
     """
 
     name: str
@@ -58,7 +59,18 @@
     is_first_start: bool
     grace_s: float
     settled_s: float
-    applied_s: float
-    keep_s: float
+    apply_s: float
+    drain_s: float
+    keep_most_s: float
     extra: ExtraLimits
     cold: ColdLimits
+
+    @property
+    def applied_s(self):
+        """Seconds in which any change must be in force."""
+        return min(self.apply_s, self.drain_s)
+
+    @property
+    def keep_s(self):
+        """Seconds for which callers are to keep the entry answer."""
+        return min(ENTRY_KEEP_S, self.keep_most_s)
--- /dev/null
+++ b/savorycross/host_port.py
@@ -0,0 +1,19 @@
+"""Addresses as text."""
+
+import ipaddress
+
+
+def split(text):
+    """Return the host and port in a text such as ``127.0.0.1:80``.
+
+    :raises ValueError: if the text is no IP address with a port.
+
+    >>> split('[::1]:80')
+    ('::1', 80)
+    """
+    host, _, port = text.rpartition(':')
+    host = host.removeprefix('[').removesuffix(']')
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= 65535):
+        raise ValueError(f'{text!r} has no port from 1 to 65535')
+    return host, int(port)
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -1,8 +1,11 @@
 """Keys of the platform's store."""
 
+import ipaddress
+
 import msgspec
 
 from savorycross.discovery import target
+from savorycross import host_port
 
 CONFIGURATION = 'op/config'
 _EVACUATION = 'op/evacuate/'
@@ -56,20 +59,14 @@
     found = _decoder.decode(value)
     if found.state not in _STATES:
         raise ValueError(f'state {found.state!r}')
-    host, _, port = found.addr.rpartition(':')
-    octets = host.split('.')
-    if len(octets) != 4 or not all(
-        o.isdigit() and int(o) < 256 for o in octets
-    ):
-        raise ValueError(f'address {found.addr!r}')
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f'address {found.addr!r}')
+    address = host_port.split(found.addr)
+    ipaddress.IPv4Address(address[0])
     if found.slots < 1:
         raise ValueError(f'slots {found.slots}')
     return target.Target(
         id=key.removeprefix(_TARGET),
         service=found.service,
-        address=(host, int(port)),
+        address=address,
         data_centre=found.zone,
         slots=found.slots,
         is_draining=found.state == 'draining',
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -7,6 +7,7 @@
 
 from savorycross import errors
 from savorycross.gateway import site
+from savorycross import host_port
 
 PATH_VARIABLE = 'SAVORYCROSS_SETTINGS'
 
@@ -72,21 +73,21 @@
     return site.Site(
         name=found.node,
         data_centre=found.zone,
-        caller_address=parse_address(found.listen.front),
-        ready_address=parse_address(found.listen.ready),
-        entry_address=parse_address(found.listen.directory),
+        caller_address=_split(found.listen.front),
+        ready_address=_split(found.listen.ready),
+        entry_address=_split(found.listen.directory),
         peer_address=(found.ip, found.internal_ports[0]),
         metrics_address=(found.ip, metrics_port),
-        store_address=parse_address(found.platform.addr),
+        store_address=_split(found.platform.addr),
         seeds=tuple(
-            (parse_address(seed)[0], found.internal_ports[0])
-            for seed in found.seeds
+            (_split(seed)[0], found.internal_ports[0]) for seed in found.seeds
         ),
         is_first_start=found.bootstrap,
         grace_s=bounds.grace_s,
         settled_s=bounds.contact_ms / 1000,
-        applied_s=min(bounds.apply_ms, bounds.drain_ms) / 1000,
-        keep_s=min(site.ENTRY_KEEP_S, bounds.ttl_max_s),
+        apply_s=bounds.apply_ms / 1000,
+        drain_s=bounds.drain_ms / 1000,
+        keep_most_s=bounds.ttl_max_s,
         extra=site.ExtraLimits(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         ),
@@ -94,12 +95,12 @@
     )
 
 
-def parse_address(text):
+def _split(text):
     """Return the host and port in a text.
 
-    :raises SettingsError: if there is no port.
+    :raises SettingsError: if it is no IP address with a port.
     """
-    host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
-        raise errors.SettingsError(f'address {text!r} has no port')
-    return host, int(port)
+    try:
+        return host_port.split(text)
+    except ValueError as exc:
+        raise errors.SettingsError(f'address {text!r}: {exc}') from exc
--- a/savorycross/settings.py
+++ b/savorycross/settings.py
@@ -7,6 +7,7 @@
 import pydantic_settings
 
 from savorycross import errors
+from savorycross import host_port
 
 PREFIX = 'SAVORYCROSS_'
 
@@ -16,31 +17,15 @@
     return text
 
 
-def split_address(text):
-    """Return the host and port in a text such as ``127.0.0.1:80``.
-
-    :raises ValueError: if the text is no IP address with a port.
-
-    >>> split_address('[::1]:80')
-    ('::1', 80)
-    """
-    host, _, port = text.rpartition(':')
-    host = host.removeprefix('[').removesuffix(']')
-    ipaddress.ip_address(host)
-    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= 65535):
-        raise ValueError(f'{text!r} has no port from 1 to 65535')
-    return host, int(port)
-
-
 def _check_address(text):
-    split_address(text)
+    host_port.split(text)
     return text
 
 
 def _check_addresses(text):
     for part in text.split(','):
         if part:
-            split_address(part)
+            host_port.split(part)
     return text
 
 
--- a/savorycross/wire/messages.py
+++ b/savorycross/wire/messages.py
@@ -33,8 +33,27 @@
 }
 
 
+class _Headed:
+    """Looks headers up by name."""
+
+    __slots__ = ()
+
+    def header(self, name):
+        """Return the first value of a header, or None.
+
+        :param name: lower-case name.
+
+        >>> Reply(200, ((b'Retry-After', b'1'),)).header(b'retry-after')
+        b'1'
+        """
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class Request(_Headed):
     """A complete request.
 
     :param target: path and query as they were sent.
@@ -50,22 +69,9 @@
     keep_alive: bool = True
     received_at: float = 0.0
 
-    def header(self, name):
-        """Return the first value of a header, or None.
-
-        :param name: lower-case name.
-
-        >>> Request(b'GET', b'/', ((b'Host', b'a'),)).header(b'host')
-        b'a'
-        """
-        for found, value in self.headers:
-            if found.lower() == name:
-                return value
-        return None
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(_Headed):
     """A complete reply.
 
     :param headers: pairs of name and value.
@@ -75,16 +81,6 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b''
 
-    def header(self, name):
-        """Return the first value of a header, or None.
-
-        :param name: lower-case name.
-        """
-        for found, value in self.headers:
-            if found.lower() == name:
-                return value
-        return None
-
 
 def encode_request(method, target, headers, body=b''):
     """Return a request as bytes, with the length of its body if any."""
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -6,6 +6,7 @@
 import trio
 
 from savorycross import errors
+from savorycross import host_port
 from savorycross.wire import client
 from standins import backend as backends
 
@@ -78,10 +79,7 @@
         if reply.status != 200:
             return
         found = json.loads(reply.body)
-        self._addresses = [
-            (host, int(port))
-            for host, _, port in (a.partition(':') for a in found['addrs'])
-        ]
+        self._addresses = [host_port.split(a) for a in found['addrs']]
         factor = 3 if self._rng.random() < 0.2 else 1
         self._keep_until = now + factor * found['ttl_s']
         if self._address not in self._addresses:
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -127,8 +127,9 @@
         is_first_start=is_first_start,
         grace_s=6.0,
         settled_s=4.0,
-        applied_s=3.0,
-        keep_s=1.0,
+        apply_s=3.0,
+        drain_s=3.0,
+        keep_most_s=5.0,
         extra=site.ExtraLimits(0.2, slack, 10.0),
         cold=site.ColdLimits(1.5, 5.0),
     )
