Say things once in forwarding, heartbeats and connections

Neighbours got rows that were made anew for each of them, after a search through all peers; they are made once a round. A fetch looked its pace up at each send and answer. The number of parts that an answer needs was worked out at each part, in two places. Two flags told whether the store answers, one constant stood twice, the request's id was decoded in six places, the mirror's held removals were released by the task that copies from peers. A connection had a branch for idling before its first request, which no caller reached. Behaviour stays.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -6,6 +6,8 @@
 
 # A watch is answered after its waiting time; this much later it is dead.
 WATCH_GRACE_S = 1.0
+# What is left for a change to arrive and be taken.
+SPARE_S = 0.5
 SHORTEST_WAIT_S = 1.0
 LONGEST_WAIT_S = 20.0
 # Changes that come close together are read with one call. The store's
@@ -27,13 +29,15 @@
     :param settled_s: time after an outage from which changes count.
     :param applied_s: time in which a change must be in force.
     """
-    found = settled_s + applied_s - WATCH_GRACE_S - COALESCE_MOST_S - 0.5
+    found = settled_s + applied_s - WATCH_GRACE_S - COALESCE_MOST_S - SPARE_S
     return min(max(found, SHORTEST_WAIT_S), LONGEST_WAIT_S)
 
 
 class Follower:
     """Lists the store's items once, then watches for changes.
 
+    ``is_connected`` tells whether the store answered the latest call.
+
     :param store: ItemStore.
     :param mirror: Mirror.
     :param log: EventLog.
@@ -59,12 +63,7 @@
         self._count = count
         self._scope = trio.CancelScope()
         self._failed_at = None
-        self.answered_at = None
-
-    @property
-    def is_connected(self):
-        """Whether the store answered the latest call."""
-        return self._failed_at is None and self.answered_at is not None
+        self.is_connected = False
 
     def restart(self):
         """Ask again at once, as the waiting call may be dead."""
@@ -134,16 +133,17 @@
             self._mirror.apply(item, now)
 
     def _note_answer(self):
-        now = trio.current_time()
-        self.answered_at = now
+        self.is_connected = True
         if self._failed_at is None:
             return
+        now = trio.current_time()
         self._mirror.note_outage(now)
         self._log.event('store.regained', after_s=now - self._failed_at)
         self._failed_at = None
 
     def _note_failure(self, exc):
         now = trio.current_time()
+        self.is_connected = False
         self._mirror.note_outage(now)
         if self._failed_at is None:
             self._failed_at = now
--- a/savorycross/events/log.py
+++ b/savorycross/events/log.py
@@ -67,7 +67,7 @@
         return is_taken
 
 
-def configure(stream=None):
+def configure():
     """Send the lines of all event logs to standard output as JSON."""
     loguru.logger.remove()
-    loguru.logger.add(sink.Sink(stream or sys.stdout), format='{message}')
+    loguru.logger.add(sink.Sink(sys.stdout), format='{message}')
--- a/savorycross/fleet/beacon.py
+++ b/savorycross/fleet/beacon.py
@@ -54,15 +54,20 @@
         ]
         if not near and not remotes:
             far = self._seeds
+        now = trio.current_time()
+        rows = self._peers.rows(now)
+        for address in near:
+            await self._send_one(address, rows)
         pending = self._peers.pending_addresses()
-        for address in dict.fromkeys((*near, *far, *pending)):
-            await self._send_one(tuple(address))
+        for address in {*far, *pending}.difference(near):
+            rows = self._peers.remote_rows(address, now)
+            await self._send_one(address, rows)
 
-    async def _send_one(self, address):
+    async def _send_one(self, address, rows):
         found = heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=self._peers.own.id,
-            rows=self._peers.rows(address, trio.current_time()),
+            rows=rows,
             asked=self._peers.take_questions(address),
             peers=self._peers.take_answers(address),
             **self._describe(),
--- a/savorycross/fleet/exchange.py
+++ b/savorycross/fleet/exchange.py
@@ -56,12 +56,11 @@
         self._nursery = nursery
 
     async def run(self):
-        """Look after the mirror until cancelled."""
+        """Compare with peers until cancelled."""
         behind_since = None
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             now = trio.current_time()
-            self._mirror.release(now)
             ahead = self._peers.fresher(self._mirror.revision, now)
             if ahead is None:
                 behind_since = None
--- a/savorycross/fleet/peers.py
+++ b/savorycross/fleet/peers.py
@@ -166,30 +166,31 @@
                 found.setdefault(peer.data_centre, []).append(peer.address)
         return list(found.values())
 
-    def rows(self, address, now):
-        """Return the Rows of a heartbeat to an address.
+    def remote_rows(self, address, now):
+        """Return the Rows of a heartbeat to another data centre.
 
-        Another data centre hears of this instance's neighbours only; an
-        instance that is new there hears of its own neighbours as well.
+        It hears of this instance's neighbours only; an instance that is new
+        there hears of its own neighbours as well.
+        """
+        told = {self.own.data_centre}
+        for state in self._by_name.values():
+            if state.peer.address != address:
+                continue
+            if now - state.known_at < INTRODUCE_S:
+                told.add(state.peer.data_centre)
+        return self.rows(now, told)
+
+    def rows(self, now, data_centres=None):
+        """Return Rows of all instances heard of lately.
+
+        :param data_centres: names; those elsewhere are left out.
         """
-        own = self.own.data_centre
-        to = next(
-            (s for s in self._by_name.values() if s.peer.address == address),
-            None,
-        )
-        told = {own}
-        if to is not None:
-            is_new = now - to.known_at < INTRODUCE_S
-            if to.peer.data_centre == own:
-                told = None
-            elif is_new:
-                told.add(to.peer.data_centre)
         return tuple(
             heartbeats.Row(s.peer.id, int((now - s.heard_at) * 1000), s.flags)
             for s in self._by_name.values()
             if s.heard_at is not None
             and now - s.heard_at < 2 * REMOTE_DEAD_AFTER_S
-            and (told is None or s.peer.data_centre in told)
+            and (data_centres is None or s.peer.data_centre in data_centres)
         )
 
     def take_questions(self, address):
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -4,6 +4,9 @@
 import enum
 import typing
 
+# When a caller whose request did not run is to come back.
+RETRY_AFTER_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -25,6 +28,11 @@
     allowed_s: float | None
     received_at: float
 
+    @property
+    def label(self):
+        """The identity as text, for logs."""
+        return self.id.decode('latin-1')
+
 
 class Verdict(enum.Enum):
     """What a target's reply says of the request."""
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -41,6 +41,7 @@
         '_is_vital',
         '_live',
         '_on_done',
+        '_pace',
         '_timer',
         'call',
         'end_at',
@@ -81,6 +82,7 @@
         self.sends = 0
         self._engine = engine
         self._on_done = on_done
+        self._pace = engine.pace(route)
         self._is_vital = is_vital
         self._live = set()
         self._timer = None
@@ -93,19 +95,22 @@
     def cancel(self):
         """Stop, also at the targets."""
         self._set_timer(None)
-        live, self._live = self._live, set()
-        for found in live:
-            found.abandon()
+        self._abandon()
         if self.state is State.RUNNING:
             self.state = State.FAILED
 
     def expire(self):
         """Close sends that are still without an answer."""
         now = self._engine.now()
+        for found in self._abandon():
+            self._note_failure(found, now, 'silent')
+
+    def _abandon(self):
+        """Close the connections of live sends and return the sends."""
         live, self._live = self._live, set()
         for found in live:
             found.abandon()
-            self._note_failure(found, now, 'silent')
+        return live
 
     def accepts(self, reply):
         """Tell whether a reply belongs to the call."""
@@ -130,7 +135,7 @@
             attempt.state.note_misplaced(now)
             self._engine.log.event(
                 'target.misplaced',
-                self.call.id.decode('latin-1'),
+                self.call.label,
                 target=attempt.state.target.id,
                 service=self.service,
             )
@@ -155,7 +160,7 @@
 
     def _take_answer(self, attempt, reply, now):
         seconds = now - attempt.started_at
-        pace = self._engine.pace(self.route)
+        pace = self._pace
         attempt.state.succeed(now)
         attempt.state.add_latency(seconds / pace.usual_s, now)
         pace.add(seconds, now)
@@ -169,7 +174,7 @@
         if state.fail(now):
             self._engine.log.event(
                 'target.ejected',
-                self.call.id.decode('latin-1'),
+                self.call.label,
                 target=state.target.id,
                 service=self.service,
                 failures=state.failures,
@@ -184,7 +189,7 @@
             return
         self._engine.log.event(
             'send.failed',
-            self.call.id.decode('latin-1'),
+            self.call.label,
             service=self.service,
             target=attempt.state.target.id,
             reason=reason,
@@ -233,14 +238,14 @@
         attempt.connection = state.pool.send(attempt, max_idle_s)
         if attempt.connection is None:
             return False
-        state.begin(attempt, now, engine.pace(self.route).usual_s)
+        state.begin(attempt, now, self._pace.usual_s)
         self._live.add(attempt)
         self.tried.add(state.target.id)
         self.sends += 1
         self.runs += 1
         engine.count_send(is_extra)
         if self.route.is_idempotent and self._may_send_more():
-            delay = engine.pace(self.route).hedge_delay(now)
+            delay = self._pace.hedge_delay(now)
             self._set_timer(now + delay, self._hedge)
         return True
 
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -1,10 +1,14 @@
 """A call that all services of a set answer, each with a part."""
 
+import math
+
+from savorycross.forward import call as calls
 from savorycross.forward import fetch as fetches
 from savorycross.forward import pace
 
 RECORD_BYTES = 16
-RETRY_AFTER_S = 0.1
+# Error of a share of services as a float.
+ROUNDING = 1e-9
 
 
 class Gather:
@@ -41,6 +45,8 @@
             )
             for name in route.services
         ]
+        share = route.min_coverage * len(self._fetches)
+        self._needed = max(1, math.ceil(share - ROUNDING))
         self._answered = []
         self._failed = 0
         self._timers = ()
@@ -78,13 +84,11 @@
 
     @property
     def _is_enough(self):
-        needed = self._route.min_coverage * len(self._fetches)
-        return bool(self._answered) and len(self._answered) >= needed - 1e-9
+        return len(self._answered) >= self._needed
 
     @property
     def _is_reachable(self):
-        most = len(self._fetches) - self._failed
-        return most >= self._route.min_coverage * len(self._fetches) - 1e-9
+        return len(self._fetches) - self._failed >= self._needed
 
     def _is_vital(self):
         """Whether too many parts are still out for an answer."""
@@ -97,9 +101,8 @@
             self._failed += 1
         if self._is_over:
             return
-        if len(self._answered) + self._failed == len(self._fetches):
-            self._finish()
-        elif not self._is_reachable:
+        is_last = len(self._answered) + self._failed == len(self._fetches)
+        if is_last or not self._is_reachable:
             self._finish()
         elif self._engine.now() >= self._objective_at - pace.ANSWER_MARGIN_S:
             self._answer_if_enough()
@@ -127,7 +130,7 @@
     def _fail(self, status, outcome):
         dialect = self._engine.dialect
         if not any(f.runs or f.may_have_run for f in self._fetches):
-            reply = dialect.make_refusal(503, RETRY_AFTER_S)
+            reply = dialect.make_refusal(503, calls.RETRY_AFTER_S)
             outcome = 'refused'
         else:
             reply = dialect.make_refusal(status)
--- a/savorycross/forward/single.py
+++ b/savorycross/forward/single.py
@@ -1,10 +1,10 @@
 """A call that one target answers."""
 
+from savorycross.forward import call as calls
 from savorycross.forward import fetch as fetches
 
 # A call that found no target waits this share of its objective for one.
 PATIENCE = 0.2
-RETRY_AFTER_S = 0.1
 
 
 class Single:
@@ -73,7 +73,7 @@
             self._refuse()
 
     def _refuse(self):
-        reply = self._engine.dialect.make_refusal(503, RETRY_AFTER_S)
+        reply = self._engine.dialect.make_refusal(503, calls.RETRY_AFTER_S)
         self._end(reply, 'refused')
 
     def _end(self, reply, outcome):
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -35,7 +35,6 @@
     def __init__(self, target, pool, now):
         self.target = target
         self.pool = pool
-        self.known_at = now
         self.outstanding = {}
         self.failures = 0
         self.ejected_until = 0.0
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -86,7 +86,7 @@
         metrics.observe('request_seconds', seconds, shape=route.shape.value)
         self._engine.log.event(
             f'request.{outcome}',
-            call.id.decode('latin-1'),
+            call.label,
             lambda: running.detail,
             route=route.name,
             version=version,
@@ -98,7 +98,7 @@
         self._engine.metrics.count('requests', outcome='refused', shape='none')
         self._engine.log.event(
             'request.refused',
-            call.id.decode('latin-1'),
+            call.label,
             status=status,
             reason=reason,
             host=call.host,
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -92,8 +92,8 @@
             self.log,
             self.metrics,
             trio.current_time,
+            self._on_peer_item,
         )
-        self._state.on_peer = self._on_peer_item
         self._mirror = mirrors.Mirror(self._state.change)
         self._store = self._adapter.make_store(
             self._site.store_address, self._nursery
@@ -104,7 +104,7 @@
             self.log,
             followers.watch_wait(self._site.settled_s, self._site.applied_s),
             self._on_synced,
-            lambda: self._peers.count(trio.current_time()),
+            self._count_instances,
         )
 
     def _make_fleet(self):
@@ -204,24 +204,27 @@
         except ValueError as exc:
             self.log.event('instance.invalid', key=key, reason=str(exc))
             return
-        now = trio.current_time()
-        self._peers.learn(peer, now)
-        self._engine.set_instances(self._peers.count(now))
+        self._peers.learn(peer, trio.current_time())
+        self._engine.set_instances(self._count_instances())
+
+    def _count_instances(self):
+        return self._peers.count(trio.current_time())
 
     def _count_rejected(self, status):
         self.metrics.count('rejected', status=status)
         self.log.event('request.rejected', status=status)
 
     async def _look_after(self):
-        """Prune connections, share limits, notice that time stood still."""
+        """Do what is due from time to time, and notice a freeze."""
         offset = _clock_offset()
         started_at = trio.current_time()
         while True:
             await trio.sleep(PRUNE_INTERVAL_S)
             now = trio.current_time()
             self._roster.prune(now)
+            self._mirror.release(now)
             if now - started_at > LEARN_S:
-                self._engine.set_instances(self._peers.count(now))
+                self._engine.set_instances(self._count_instances())
             found = _clock_offset()
             if found - offset > FREEZE_S:
                 self.log.event('instance.woke', stood_s=found - offset)
@@ -234,7 +237,7 @@
         gauge = self.metrics.set_gauge
         gauge('store_connected', int(self._follower.is_connected))
         gauge('store_revision', self._mirror.revision)
-        gauge('instances', self._peers.count(now))
+        gauge('instances', self._count_instances())
         gauge('busy_callers', self._callers.busy)
         gauge('targets', len(self._roster.states()))
         ejected = sum(s.is_ejected(now) for s in self._roster.states())
--- a/savorycross/gateway/state.py
+++ b/savorycross/gateway/state.py
@@ -14,10 +14,19 @@
     :param log: EventLog.
     :param metrics: Registry.
     :param now: callable that returns the runtime clock time.
+    :param on_peer: called with key and item of an instance's announcement.
     """
 
     def __init__(
-        self, keys, decode_configuration, gateway, roster, log, metrics, now
+        self,
+        keys,
+        decode_configuration,
+        gateway,
+        roster,
+        log,
+        metrics,
+        now,
+        on_peer,
     ):
         self._keys = keys
         self._decode_configuration = decode_configuration
@@ -26,7 +35,7 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self.on_peer = None
+        self._on_peer = on_peer
 
     def change(self, key, item):
         """Take an item, or None for one that was removed."""
@@ -35,12 +44,11 @@
             self._change_target(key, item)
         elif key == keys.CONFIGURATION:
             self._change_configuration(item)
-        elif keys.evacuated_data_centre(key) is not None:
-            self._roster.set_evacuated(
-                keys.evacuated_data_centre(key), item is not None, self._now()
-            )
         elif keys.is_instance(key):
-            self.on_peer(key, item)
+            self._on_peer(key, item)
+        elif (data_centre := keys.evacuated_data_centre(key)) is not None:
+            is_out = item is not None
+            self._roster.set_evacuated(data_centre, is_out, self._now())
 
     def _change_target(self, key, item):
         if item is None:
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -54,6 +54,7 @@
 
     def __init__(self, address, nursery, on_idle, on_closed):
         self.address = address
+        self.idle_since = math.inf
         self.idle_until = math.inf
         self._nursery = nursery
         self._on_idle = on_idle
@@ -62,9 +63,9 @@
         self._transport = None
         self._was_sent = False
         self._is_spent = False
-        self._closed = False
         self._scope = trio.CancelScope()
-        self._new_parser()
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
 
     def start(self, exchange):
         """Send a request, once connected."""
@@ -75,7 +76,6 @@
     def close(self):
         """End the connection; its exchange hears nothing more."""
         self._exchange = None
-        self._closed = True
         self._scope.cancel()
         if self._transport is not None:
             self._transport.close()
@@ -114,12 +114,9 @@
             return 'connect timeout'
         except OSError as exc:
             return f'connect: {exc.strerror or exc}'
-        if self._closed:
-            return 'closed'
         if self._exchange is None:
-            self._on_idle(self)
-        else:
-            self._send()
+            return 'closed'
+        self._send()
         try:
             return await self._read()
         except (OSError, trio.ClosedResourceError):
@@ -150,10 +147,6 @@
             self._complete()
         return 'end of stream'
 
-    def _new_parser(self):
-        self._parser = httptools.HttpResponseParser(self)
-        self._reset()
-
     def _reset(self):
         self._headers = []
         self._chunks = []
@@ -217,7 +210,8 @@
         self._exchange = None
         self._was_sent = False
         if not self._is_spent and not self._transport.has_pending:
-            self.idle_until = trio.current_time() + _idle_time(reply)
+            self.idle_since = trio.current_time()
+            self.idle_until = self.idle_since + _idle_time(reply)
             self._on_idle(self)
         else:
             self._is_spent = True
--- a/savorycross/wire/pool.py
+++ b/savorycross/wire/pool.py
@@ -87,7 +87,6 @@
         return found
 
     def _on_idle(self, connection):
-        connection.idle_since = trio.current_time()
         self._idle.append(connection)
 
     def _on_closed(self, connection):
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -60,11 +60,13 @@
             for a in member.remotes()
             if self.rng.random() < share
         ]
-        to = (*near, *far, *member.pending_addresses())
-        for address in dict.fromkeys(to):
-            self._deliver(name, member, address)
+        for address in near:
+            self._deliver(name, member, address, member.rows(self.now))
+        for address in {*far, *member.pending_addresses()}.difference(near):
+            rows = member.remote_rows(address, self.now)
+            self._deliver(name, member, address, rows)
 
-    def _deliver(self, name, member, address):
+    def _deliver(self, name, member, address, rows):
         for other, found in self.members.items():
             if found.own.address != address or other in self.down:
                 continue
@@ -76,7 +78,7 @@
                 heartbeat.READY,
                 7,
                 True,
-                member.rows(address, self.now),
+                rows,
                 member.take_questions(address),
                 member.take_answers(address),
             )
@@ -148,6 +150,6 @@
         heartbeat.READY,
         1000,
         True,
-        member.rows(group.members['b3'].own.address, group.now),
+        member.remote_rows(group.members['b3'].own.address, group.now),
     )
     assert len(heartbeat.encode(sent)) < 120
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -153,3 +153,11 @@
     nursery.start_soon(trio.serve_listeners, handle, [listener])
     found = pool.Pool(listener.socket.getsockname()[:2], nursery)
     assert (await _call(found)).reply.body == b'rest'
+
+
+async def test_pruned_pool_uses_its_connection_again(listen, nursery):
+    found = pool.Pool(await listen(OK, OK, OK), nursery)
+    for _ in range(3):
+        assert (await _call(found)).reply.body == b'ok'
+        found.prune(trio.current_time())
+    assert found.opened == 1
