Start and stop the soak's world in one way

Its runs and the process tests of the platform each called its private steps in order; the readiness check spoke HTTP by hand beside wire.client.

--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from savorycross import errors
+from savorycross.wire import client
 from soak import caller
 from soak import checks
 from soak import faults
@@ -63,12 +65,8 @@
 
     async def run(self, seconds, only=None):
         """Play the run and return the violations."""
-        await self._start_store()
-        await self._start_backends()
-        self._configure()
-        await self._start_instances()
         try:
-            await self._wait_until_ready()
+            await self.start()
             for i in range(self._n_callers):
                 found = caller.Caller(
                     self,
@@ -84,11 +82,23 @@
             self.recovered_at = trio.current_time()
             await trio.sleep(FINAL_S)
         finally:
-            for found in self.instances:
-                found.kill()
+            self.stop()
         self.checks.finish()
         return self.checks.violations
 
+    async def start(self):
+        """Start store, backends and instances; return once all are ready."""
+        await self._start_store()
+        await self._start_backends()
+        self._configure()
+        await self._start_instances()
+        await self._wait_until_ready()
+
+    def stop(self):
+        """End the instances."""
+        for found in self.instances:
+            found.kill()
+
     def calm_since(self, at):
         """Return when the last unplanned fault before a time ended."""
         since = 0.0
@@ -222,16 +232,16 @@
     async def _wait_until_ready(self):
         with trio.fail_after(START_TIMEOUT_S):
             for found in self.instances:
-                while not await self._is_ready(found):
+                while not await self.is_ready(found):
                     await trio.sleep(0.1)
 
-    async def _is_ready(self, instance):
+    async def is_ready(self, instance):
+        """Tell whether an instance takes callers."""
+        asked = client.Client(instance.address('ready'), self._nursery)
         try:
-            stream = await trio.open_tcp_stream(*instance.address('ready'))
-        except OSError:
+            reply = await asked.call(b'GET', b'/v1/readyz')
+        except errors.ConnectionLostError:
             return False
-        async with stream:
-            await stream.send_all(
-                b'GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n'
-            )
-            return b' 200 ' in await stream.receive_some(100)
+        finally:
+            asked.close()
+        return reply.status == 200
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -59,17 +59,12 @@
 @pytest.fixture
 async def site(nursery, tmp_path):
     found = world.World(SEED, tmp_path, nursery, n_instances=2)
-    await found._start_store()
-    await found._start_backends()
-    found._configure()
-    await found._start_instances()
     try:
-        await found._wait_until_ready()
+        await found.start()
         await trio.sleep(1.0)
         yield Site(found, tmp_path, nursery)
     finally:
-        for instance in found.instances:
-            instance.kill()
+        found.stop()
 
 
 async def test_each_failed_request_is_explained_by_logs_and_metrics(site):
@@ -128,7 +123,7 @@
     second.kill()
     second.start()
     with trio.fail_after(20):
-        while not await site.world._is_ready(second):
+        while not await site.world.is_ready(second):
             await trio.sleep(0.1)
     assert (await site.call(b'/one/x', b'id-1', instance=1)).status == 200
 
