Stop starting a call that is over; forget unanswered questions, removals

Found by reading: a gather that fails while it starts (no targets, its time over) went on to send to the services after; a question about an instance that nobody answers was sent each 0.4 s for good, and 24 of them left no room for others; the mirror kept each removed key for good. Each has a test that failed first.

--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -5,6 +5,8 @@
 # Entries that lapsed while the store was away return within 2 s of its
 # return; a little more lets the last of them arrive.
 RETURN_HOLD_S = 2.2
+# Late items are told by these many removals; targets come under new keys.
+MAX_REMOVED = 2000
 
 
 class Mirror:
@@ -42,6 +44,8 @@
                 self._tell(key, item)
             return
         self._removed[key] = item.revision
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
         if known is not None:
             self._remove(key, now)
 
--- a/savorycross/fleet/peers.py
+++ b/savorycross/fleet/peers.py
@@ -13,7 +13,8 @@
 REMOTE_MESSAGES = 1.5
 # Instances that are silent are forgotten after this time.
 FORGET_AFTER_S = 20.0
-# An instance is new to others for this time.
+# An instance is new to others for this time; a question about one is given
+# up after it.
 INTRODUCE_S = 5.0
 MAX_ANSWERS = 24
 
@@ -86,7 +87,7 @@
             self._take_row(row, address, now)
         state = self._by_id.get(heartbeat.sender)
         if state is None:
-            self._ask(heartbeat.sender, address)
+            self._ask(heartbeat.sender, address, now)
             return
         state.heard_at = now
         state.direct_at = now
@@ -95,7 +96,7 @@
         state.has_store = heartbeat.has_store
 
     def tick(self, now):
-        """Log peers that went silent or came; forget old ones."""
+        """Log peers that went silent or came; forget what is old."""
         alive = {
             s.peer.name
             for s in self._by_name.values()
@@ -112,6 +113,11 @@
                 heard_s_ago=_age(state, now),
             )
         self._alive = alive
+        self._unknown = {
+            id_: question
+            for id_, question in self._unknown.items()
+            if now - question[1] < INTRODUCE_S
+        }
         for name, state in list(self._by_name.items()):
             last = max(state.known_at, state.heard_at or 0.0)
             if now - last > FORGET_AFTER_S:
@@ -195,7 +201,9 @@
 
     def take_questions(self, address):
         """Return the ids to ask of an address."""
-        return tuple(id_ for id_, at in self._unknown.items() if at == address)
+        return tuple(
+            id_ for id_, (at, _) in self._unknown.items() if at == address
+        )
 
     def take_answers(self, address):
         """Return the Peers that an address asked for."""
@@ -206,7 +214,7 @@
 
     def pending_addresses(self):
         """Return the addresses that are to be asked or answered."""
-        return {*self._answers, *self._unknown.values()}
+        return {*self._answers, *(at for at, _ in self._unknown.values())}
 
     def _take_row(self, row, address, now):
         if row.id == self.own.id:
@@ -214,16 +222,16 @@
         state = self._by_id.get(row.id)
         if state is None:
             if row.age_ms < DEAD_AFTER_S * 1000:
-                self._ask(row.id, address)
+                self._ask(row.id, address, now)
             return
         heard_at = now - row.age_ms / 1000
         if state.heard_at is None or heard_at > state.heard_at:
             state.heard_at = heard_at
             state.flags = row.flags
 
-    def _ask(self, id_, address):
-        if len(self._unknown) < MAX_ANSWERS:
-            self._unknown[id_] = address
+    def _ask(self, id_, address, now):
+        if id_ in self._unknown or len(self._unknown) < MAX_ANSWERS:
+            self._unknown[id_] = (address, now)
 
     def _is_alive(self, state, now):
         if state.heard_at is None:
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -61,6 +61,8 @@
             call_at(self._end_at, self._time_out),
         )
         for found in self._fetches:
+            if self._is_over:
+                return
             found.start()
 
     def cancel(self):
--- a/tests/discovery/test_mirror.py
+++ b/tests/discovery/test_mirror.py
@@ -71,3 +71,14 @@
     found.apply(item.Item('bad', 1, b'x'), 0.0)
     found.apply(item.Item('good', 2, b'x'), 0.0)
     assert seen == ['good']
+
+
+def test_old_removals_are_forgotten():
+    found, _ = _make()
+    for n in range(mirror.MAX_REMOVED + 50):
+        found.apply(item.Item(f'k{n}', 2 * n + 1, b'x'), 0.0)
+        found.apply(item.Item(f'k{n}', 2 * n + 2, removed=True), 0.0)
+    assert len(found._removed) <= mirror.MAX_REMOVED
+    newest = f'k{mirror.MAX_REMOVED + 49}'
+    found.apply(item.Item(newest, 3, b'late'), 0.0)
+    assert newest not in found.items
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -153,3 +153,12 @@
         member.remote_rows(group.members['b3'].own.address, group.now),
     )
     assert len(heartbeat.encode(sent)) < 120
+
+
+def test_question_that_nobody_answers_is_given_up():
+    found = peers.Peers(_peer('a'), null_log.NullLog())
+    sent = heartbeat.Heartbeat(heartbeat.FORMAT, 77, 0, 0, True)
+    found.hear(sent, ('10.0.0.7', 7740), 0.0)
+    assert found.pending_addresses() == {('10.0.0.7', 7740)}
+    found.tick(peers.INTRODUCE_S + 1.0)
+    assert not found.pending_addresses()
--- a/tests/forward/test_gather.py
+++ b/tests/forward/test_gather.py
@@ -137,3 +137,22 @@
     run = Run()
     run.answer('s1', content_encoding=b'gzip')
     assert len(run.exchanges('s1')) == 2
+
+
+def test_call_that_failed_while_it_started_sends_nothing_more():
+    services = ('s1', 's2', 's3', 's4')
+    engine = world.FakeEngine()
+    engine.add_target('s3-a', 's3')
+    engine.add_target('s4-a', 's4')
+    ends = []
+    found = gather.Gather(
+        engine,
+        world.make_call(received_at=engine.time - 10.0),
+        world.make_route(services),
+        objective_at=engine.time - 9.8,
+        end_at=engine.time + 1.0,
+        on_end=lambda reply, outcome: ends.append(outcome),
+    )
+    found.start()
+    assert ends == ['refused']
+    assert not engine.sends
