--- a/savorycross/forward/roster.py
+++ b/savorycross/forward/roster.py
@@ -15,7 +15,7 @@
         self._log = log
         self._by_id = {}
         self._by_service = {}
-        self._evacuated = set()
+        self._out = set()
         self._services = {}
         self._instances = 1
 
@@ -33,7 +33,7 @@
             s
             for s in self._by_service.get(service, ())
             if not s.target.is_draining
-            and s.target.data_centre not in self._evacuated
+            and s.target.data_centre not in self._out
         ]
 
     def set_services(self, services):
@@ -85,14 +85,14 @@
                 'target.gone', target=target_id, service=known.target.service
             )
 
-    def set_evacuated(self, data_centre, is_out, now):
+    def set_out(self, data_centre, is_out, now):
         """Take a data centre out, or back in."""
-        if is_out == (data_centre in self._evacuated):
+        if is_out == (data_centre in self._out):
             return
         if is_out:
-            self._evacuated.add(data_centre)
+            self._out.add(data_centre)
         else:
-            self._evacuated.discard(data_centre)
+            self._out.discard(data_centre)
             for state in self._by_id.values():
                 if state.target.data_centre == data_centre:
                     self._note_cold(state, now)
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -31,7 +31,7 @@
 LEARN_S = 2.0
 # How often the settings are read again, as they may change unannounced.
 SETTINGS_INTERVAL_S = 2.0
-# Clocks that disagree by more than this show that the machine stood still.
+# Clocks that disagree by more than this show that the node stood still.
 FREEZE_S = 0.3
 METRICS_TYPE = b'text/plain; version=0.0.4'
 # Part of the grace time that is left when the instance ends anyway.
@@ -293,7 +293,7 @@
 
 
 def _clock_offset():
-    """Return how long the machine has stood still since its start."""
+    """Return how long the node has stood still since its start."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
 
 
--- a/savorycross/gateway/state.py
+++ b/savorycross/gateway/state.py
@@ -46,9 +46,9 @@
             self._change_configuration(item)
         elif keys.is_instance(key):
             self._on_peer(key, item)
-        elif (data_centre := keys.evacuated_data_centre(key)) is not None:
+        elif (data_centre := keys.data_centre_taken_out(key)) is not None:
             is_out = item is not None
-            self._roster.set_evacuated(data_centre, is_out, self._now())
+            self._roster.set_out(data_centre, is_out, self._now())
 
     def _change_target(self, key, item):
         if item is None:
--- a/tests/forward/test_picker.py
+++ b/tests/forward/test_picker.py
@@ -68,11 +68,11 @@
 def test_draining_target_and_data_centre_taken_out_get_nothing():
     engine = _engine(a='bilbo', b='iruna')
     engine.add_target('c', 's', 'donosti', is_draining=True)
-    engine.roster.set_evacuated('bilbo', True, engine.time)
+    engine.roster.set_out('bilbo', True, engine.time)
     assert _pick(engine) == 'b'
-    engine.roster.set_evacuated('iruna', True, engine.time)
+    engine.roster.set_out('iruna', True, engine.time)
     assert _pick(engine) is None
-    engine.roster.set_evacuated('bilbo', False, engine.time)
+    engine.roster.set_out('bilbo', False, engine.time)
     assert _pick(engine) == 'a'
 
 
