Wait for settled numbers of shards before planning a query

Cause: right after a split, a service whose targets had not yet told their number of shards under the new shard map was counted with the declared number, so an answer said 8 shards where 10 belong to it.

Ruled out: the targets' own statements (each told its new number within one interval); the merger (it counts what the plan asks).

A service without a usable target doesn't hold anybody up.

--- a/savorycross/entry/query_run.py
+++ b/savorycross/entry/query_run.py
@@ -58,8 +58,9 @@
 class QueryRun:
     """Drives one query from its plan to its end.
 
-    After its snapshot has vanished, a query waits for news of a snapshot
-    that all shards can answer, for a part of the time that it has left.
+    After its snapshot has vanished, or while the numbers of shards are not
+    settled, a query waits for news of a snapshot that all shards can answer,
+    for a part of the time that it has left.
 
     :param demand: a Demand.
     :param make_plan: callable of the snapshots to avoid; returns a Plan.
@@ -82,7 +83,7 @@
         self._vanished = frozenset()
         self._tried = collections.defaultdict(set)
         self._replan_at = None
-        self._patient_until = float('-inf')
+        self._patient_until = None
 
     def start(self, now):
         """Plan the query; return Dispatch actions."""
@@ -94,13 +95,24 @@
             for name, shards in self.plan.parts.items()
             for shard in shards
         ]
-        if self.plan.missed and now < self._patient_until:
+        if self._waits(now):
             self._replan_at = now + REPLAN_PAUSE_S
             return []
         if not pairs:
             return self._nothing_planned(now)
         return self._reroute(pairs, now)
 
+    def _waits(self, now):
+        """Tell whether to wait for a better plan."""
+        if not self.plan.missed or (
+            self.plan.is_settled and not self.restarts
+        ):
+            return False
+        if self._patient_until is None:
+            patience = (self.demand.deadline - now) * PATIENCE_RATIO
+            self._patient_until = now + min(patience, PATIENCE_MAX_S)
+        return now < self._patient_until
+
     def next_wake(self):
         """Return the time of the next timer."""
         times = [self.demand.deadline]
@@ -223,9 +235,6 @@
     def _restart(self, now):
         """Begin anew on another snapshot, for this one has vanished."""
         cancels = self._cancel_parts()
-        if not self._vanished:
-            patience = (self.demand.deadline - now) * PATIENCE_RATIO
-            self._patient_until = now + min(patience, PATIENCE_MAX_S)
         self._vanished = self._vanished | {self.plan.snapshot}
         self.restarts += 1
         return cancels + self.start(now)
--- a/savorycross/plan/plan.py
+++ b/savorycross/plan/plan.py
@@ -13,12 +13,16 @@
     :param snapshot: the snapshot that every shard must answer from.
     :param parts: shard keys by replica set.
     :param missed: cause by shard key for shards that nobody can answer.
+    :param is_settled: False while a usable target has told the number of its
+        service's shards under other shard maps only; the plan then counts
+        the declared number.
     """
 
     index: str
     snapshot: inventory.Snapshot
     parts: dict[str, tuple[str, ...]]
     missed: dict[str, str]
+    is_settled: bool = True
 
     @property
     def asked(self):
@@ -72,7 +76,21 @@
         for service in services:
             self._collect(catalogue, service, holders, totals)
         snapshot = self._choose(services, holders, totals, avoid)
-        return self._assemble(index, services, snapshot, holders, totals)
+        parts, missed = _assemble(services, snapshot, holders, totals)
+        is_settled = all(
+            self._is_settled(catalogue, s, snapshot.epoch, totals)
+            for s in services
+        )
+        return Plan(index, snapshot, parts, missed, is_settled)
+
+    def _is_settled(self, catalogue, service, epoch, totals):
+        """Tell whether a service's number of shards will not change soon."""
+        if epoch == service.epoch or (service.name, epoch) in totals:
+            return True
+        return not any(
+            self._usable(t.name) and self._table.get(t.name) is not None
+            for t in catalogue.targets_by_service.get(service.name, [])
+        )
 
     def _collect(self, catalogue, service, holders, totals):
         for target in catalogue.targets_by_service.get(service.name, []):
@@ -102,19 +120,21 @@
             return inventory.Snapshot(version=0, epoch=epoch)
         return max(candidates, key=score)
 
-    def _assemble(self, index, services, snapshot, holders, totals):
-        parts = collections.defaultdict(list)
-        missed = {}
-        for service in services:
-            for number in range(_total(service, snapshot.epoch, totals)):
-                key = shard_key(service.name, number)
-                replica_set = holders.get(snapshot, {}).get(key)
-                if replica_set is None:
-                    missed[key] = 'no_replica'
-                else:
-                    parts[replica_set].append(key)
-        frozen = {name: tuple(keys) for name, keys in parts.items()}
-        return Plan(index, snapshot, frozen, missed)
+
+def _assemble(services, snapshot, holders, totals):
+    """Return shard keys by replica set, and causes by missed shard key."""
+    parts = collections.defaultdict(list)
+    missed = {}
+    for service in services:
+        for number in range(_total(service, snapshot.epoch, totals)):
+            key = shard_key(service.name, number)
+            replica_set = holders.get(snapshot, {}).get(key)
+            if replica_set is None:
+                missed[key] = 'no_replica'
+            else:
+                parts[replica_set].append(key)
+    frozen = {name: tuple(keys) for name, keys in parts.items()}
+    return frozen, missed
 
 
 def _total(service, epoch, totals):
--- /dev/null
+++ b/tests/plan/test_plan.py
@@ -0,0 +1,93 @@
+"""The choice of a snapshot while shard maps change."""
+
+from savorycross.catalogue import catalogue
+from savorycross.catalogue import service
+from savorycross.catalogue import target
+from savorycross.entry import query_run
+from savorycross.plan import inventory
+from savorycross.plan import plan
+
+OLD, NEW = (1, 3), (2, 5)
+
+
+def make_catalogue():
+    """Two services of three shards, each held by one target."""
+    return catalogue.Catalogue(
+        version=1,
+        services=(
+            service.Service('left', 'idx', 3),
+            service.Service('right', 'idx', 3),
+        ),
+        targets=tuple(
+            target.Target(
+                f'{name}-1', name, name, 'x', '127.0.0.1', 1, (0, 1, 2), 2, 10
+            )
+            for name in ('left', 'right')
+        ),
+    )
+
+
+def tell(table, name, shard_map, stamp):
+    """A target states that it holds all shards under a shard map."""
+    epoch, total = shard_map
+    holding = inventory.Holding(
+        inventory.Snapshot(1, epoch), total, tuple(range(total))
+    )
+    table.update(
+        inventory.TargetInventory(name, 'boot', True, False, (holding,), stamp)
+    )
+
+
+def make_table(left=OLD, right=OLD):
+    table = inventory.InventoryTable()
+    tell(table, 'left-1', left, 1)
+    tell(table, 'right-1', right, 1)
+    return table
+
+
+def test_plan_is_settled_once_all_services_tell_of_the_new_shard_map():
+    table = make_table(left=NEW)
+    planner = plan.Planner(table, lambda name: True)
+    assert not planner.plan(make_catalogue(), 'idx', 0).is_settled
+    tell(table, 'right-1', NEW, 2)
+    found = planner.plan(make_catalogue(), 'idx', 0)
+    assert found.is_settled
+    assert found.asked == 10
+
+
+def test_service_without_a_usable_target_leaves_the_plan_settled():
+    planner = plan.Planner(make_table(left=NEW), lambda name: name == 'left-1')
+    assert planner.plan(make_catalogue(), 'idx', 0).is_settled
+
+
+def test_query_waits_for_a_settled_plan():
+    table = make_table(left=NEW)
+    planner = plan.Planner(table, lambda name: True)
+    run = make_run(planner)
+    assert run.start(0.0) == []
+    tell(table, 'right-1', NEW, 2)
+    assert run.next_wake() < 0.1
+    run.wake(run.next_wake())
+    assert run.plan.asked == 10
+
+
+def test_query_does_not_wait_longer_than_a_part_of_its_time():
+    planner = plan.Planner(make_table(left=NEW), lambda name: True)
+    run = make_run(planner)
+    now = 0.0
+    sent = run.start(now)
+    while not sent:
+        now = run.next_wake()
+        assert now < 0.7
+        sent = run.wake(now)
+    assert run.plan.asked == 8
+
+
+def make_run(planner):
+    demand = query_run.Demand('r', 'idx', 0, b'', 1.0, None, 0.0)
+    return query_run.QueryRun(
+        demand,
+        lambda avoid: planner.plan(make_catalogue(), 'idx', 0, avoid),
+        lambda name: ['owner'],
+        iter(range(100)),
+    )
