Let an instance that leaves by plan finish what it has begun

Cause of an unknown booking outcome in a rolling restart, found by reading the way of a booking past an instance that leaves: - a member's link to the leaver was cut as soon as the view was adopted, so answers that were still on their way counted as lost; - a ticket of an instance that had left the view, but still ran, was refused with an unknown outcome; - the leaver never told that it had released its targets, so their new owner waited 2.25 s, longer than a booking's deadline, and sent with no time left; - an instance outside of the view took all others for dead after a second.

Ruled out: the callers' client (it repeats nothing that may have run), the ledger (its verdicts are model-checked).

Change: links to former members last until these end, at most 10 s; an instance that is linked counts as running; a leaver sends Released, and takes all members for alive.

--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -45,6 +45,9 @@
     def retain(self, found) -> None:
         """Keep links to just these members."""
 
+    def is_linked(self, name, incarnation) -> bool:
+        """Tell whether a process of an instance can be sent to."""
+
     def send(self, name, message) -> bool:
         """Queue a message; return False if it cannot be sent."""
 
@@ -270,7 +273,9 @@
     def is_running(self, name, incarnation):
         """Tell whether a process of an instance may still run."""
         found = self.group.view.find(name)
-        return found is not None and found.incarnation == incarnation
+        if found is not None and found.incarnation == incarnation:
+            return True
+        return self.peers.is_linked(name, incarnation)
 
     # What the relay asks.
 
@@ -436,7 +441,7 @@
         names = [m.name for m in view.members]
         now = trio.current_time()
         self.group.authority.adopt(generation, names, owners, now)
-        if self.group.is_member and view.epoch:
+        if (self.group.is_member or self.group.leaving) and view.epoch:
             self.nursery.start_soon(self._release, view.epoch)
 
     async def _release(self, epoch):
--- a/savorycross/membership/group.py
+++ b/savorycross/membership/group.py
@@ -67,7 +67,13 @@
         return self.view.contains(self.own)
 
     def alive(self):
-        """Return the members of the view that are believed alive."""
+        """Return the members of the view that are believed alive.
+
+        Members do not answer an instance that has left the view, so it
+        takes all for alive.
+        """
+        if self.leaving and not self.is_member:
+            return self.view.members
         return tuple(
             m
             for m in self.view.members
--- a/savorycross/peer/link.py
+++ b/savorycross/peer/link.py
@@ -12,6 +12,9 @@
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
 RECONNECT_PAUSE_S = 0.2
+# Longest time that a link to a former member is kept; a member that leaves
+# ends within it, and a frozen one is not waited for much longer.
+RETIRED_LINK_S = 10.0
 RECEIVE_BYTES = 256 * 1024
 MAX_BATCH_FRAMES = 256
 
@@ -42,25 +45,46 @@
         self._on_lost = on_lost
         self._metrics = metrics
         self._links = {}
+        self._retired = {}
 
     def retain(self, members):
-        """Keep links to just these members, in their incarnations."""
+        """Open links to just these members, in their incarnations.
+
+        A link to a former member stays until the member closes it: answers
+        to what it was sent are still to come.
+        """
         wanted = {m.name: m for m in members if m.name != self._own.name}
         for name in list(self._links):
             if self._links[name].member != wanted.get(name):
-                self._links.pop(name).close()
+                self._retire(name, self._links.pop(name))
+        for name in self._retired.keys() & wanted.keys():
+            self._retired.pop(name).close()
         for name, found in wanted.items():
             if name not in self._links:
                 link = _Link(found, self._own, self._on_up, self._on_lost)
                 self._links[name] = link
                 self._nursery.start_soon(link.run)
 
+    def _retire(self, name, link):
+        if not link.is_up:
+            link.close()
+            return
+        link.retire()
+        self._retired[name] = link
+
+    def is_linked(self, name, incarnation):
+        """Tell whether a link to a process of an instance is up."""
+        link = self._links.get(name) or self._retired.get(name)
+        if link is None or not link.is_up:
+            return False
+        return link.member.incarnation == incarnation
+
     def send(self, name, message):
         """Queue a message to a peer; return False if no link is up."""
         if name == self._own.name:
             self._on_message(name, message)
             return True
-        link = self._links.get(name)
+        link = self._links.get(name) or self._retired.get(name)
         if link is None or not link.is_up:
             return False
         data = codec.encode(message, self._clock.tick())
@@ -118,6 +142,7 @@
         self._on_up = on_up
         self._on_lost = on_lost
         self._scope = trio.CancelScope()
+        self._is_retired = False
         self._send, self._receive = trio.open_memory_channel(math.inf)
 
     def send(self, data):
@@ -129,10 +154,15 @@
         self.is_up = False
         self._scope.cancel()
 
+    def retire(self):
+        """Do not connect again, and end the link after a while."""
+        self._is_retired = True
+        self._scope.deadline = trio.current_time() + RETIRED_LINK_S
+
     async def run(self):
         """Connect, write queued frames, and connect again."""
         with self._scope:
-            while True:
+            while not self._is_retired:
                 await self._connect_and_write()
                 await trio.sleep(RECONNECT_PAUSE_S)
 
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -69,15 +69,25 @@
         self._fabric = fabric
         self._own = found
         self._names = {}
+        self._retired = {}
 
     def retain(self, found):
-        """Keep links to just these members."""
+        """Keep links to these members, and to former ones while they run."""
         wanted = {m.name: m for m in found if m.name != self._own.own.name}
         fresh = [n for n in wanted if n not in self._names]
+        former = {**self._retired, **self._names}
+        self._retired = {n: m for n, m in former.items() if n not in wanted}
         self._names = wanted
         for name in fresh:
             self._fabric.line.post(HOP_S, self._own.on_peer_up, name)
 
+    def is_linked(self, name, incarnation):
+        """Tell whether a process of an instance can be sent to."""
+        found = self._names.get(name) or self._retired.get(name)
+        if found is None or found.incarnation != incarnation:
+            return False
+        return self._fabric.runs(found)
+
     def send(self, name, message):
         """Queue a message; return False if it cannot be sent."""
         own = self._own.own.name
@@ -85,7 +95,8 @@
             self._own.on_message(own, message)
             return True
         real = self._fabric.resolve(name)
-        if name not in self._names or self._fabric.is_cut(own, real):
+        found = self._names.get(name) or self._retired.get(name)
+        if found is None or self._fabric.is_cut(own, real):
             return False
         self._fabric.line.post(HOP_S, self._fabric.deliver, own, real, message)
         return True
@@ -325,6 +336,11 @@
         """Return the name of the instance behind a seed's name."""
         return self._seeds.get(name, name)
 
+    def runs(self, member):
+        """Tell whether this very process of an instance runs."""
+        found = self.instances.get(member.name)
+        return found is not None and found.own == member
+
     def deliver(self, sender, name, message):
         """Hand over a message, unless the way is cut by now."""
         found = self.instances.get(name)
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -1,3 +1,6 @@
+import dataclasses
+import functools
+
 import pytest
 import trio
 import trio.testing
@@ -14,18 +17,20 @@
 
 
 class Side:
-    """The accepting side of a link."""
+    """One side of a link."""
 
     def __init__(self, nursery):
         self.received = []
+        self.lost = []
+        self.is_up = trio.Event()
         self.metrics = registry.Registry()
         self.links = link.PeerLinks(
             OWN,
             clock.HybridClock(lambda: 1.0),
             nursery,
             lambda name, message: self.received.append((name, message)),
-            lambda name: None,
-            lambda name: None,
+            lambda name: self.is_up.set(),
+            self.lost.append,
             self.metrics,
         )
 
@@ -72,3 +77,56 @@
 async def test_half_a_frame_is_dropped(side):
     await side.play(HELLO, frames.pack(codec.encode(PULL))[:-3])
     assert side.received == []
+
+
+class Acceptor:
+    """A peer that keeps the streams it has accepted."""
+
+    def __init__(self):
+        self.streams = []
+
+    async def accept(self, stream):
+        self.streams.append(stream)
+        await trio.sleep_forever()
+
+
+@pytest.fixture
+async def acceptor(nursery):
+    found = Acceptor()
+    serve = functools.partial(trio.serve_tcp, host='127.0.0.1')
+    (listener,) = await nursery.start(serve, found.accept, 0)
+    port = listener.socket.getsockname()[1]
+    found.member = member.Member('b', 'x', '127.0.0.1', 1, port, 7)
+    return found
+
+
+async def wait_until(condition):
+    with trio.fail_after(20.0):
+        while not condition():
+            await trio.sleep(0.005)
+
+
+async def test_link_to_a_member_that_leaves_lasts_until_it_ends(
+    side, acceptor
+):
+    side.links.retain([acceptor.member])
+    await side.is_up.wait()
+    side.links.retain([])
+    await trio.testing.wait_all_tasks_blocked()
+    assert side.lost == []
+    assert side.links.is_linked('b', 7)
+    assert not side.links.is_linked('b', 8)
+    assert side.links.send('b', PULL)
+    await wait_until(lambda: acceptor.streams)
+    await acceptor.streams[0].aclose()
+    await wait_until(lambda: side.lost == ['b'])
+    assert not side.links.is_linked('b', 7)
+    await trio.sleep(2 * link.RECONNECT_PAUSE_S)
+    assert len(acceptor.streams) == 1
+
+
+async def test_link_to_a_former_process_ends_with_the_next(side, acceptor):
+    side.links.retain([acceptor.member])
+    await side.is_up.wait()
+    side.links.retain([dataclasses.replace(acceptor.member, incarnation=8)])
+    await wait_until(lambda: side.lost == ['b'])
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -147,6 +147,12 @@
     world.fabric.kill(name)
 
 
+@step('when', 'instance {name} leaves the view')
+async def _leave(world, name):
+    await world.fabric.instances[name].group.leave()
+    await trio.sleep(0.5)
+
+
 @step('when', 'instance {name} starts')
 async def _start(world, name):
     world.fabric.start(name, 'north', seeds=list(world.fabric.instances))
--- a/tests/scenarios/features/p07_at_most_once.feature
+++ b/tests/scenarios/features/p07_at_most_once.feature
@@ -64,3 +64,12 @@
     And a caller books with ticket first through entry-2
     Then the targets ran 1 bookings
     And booking first has the outcome ran
+
+  Scenario: the issuer has left the view, but has not ended
+    Given a deployment of 4 instances
+    When 6 seconds pass
+    And a caller takes ticket first from entry-1
+    And instance entry-1 leaves the view
+    And a caller books with ticket first through entry-2
+    Then the targets ran 1 bookings
+    And booking first has the outcome ran
