Let an instance near the targets send and merge for a gather

Change: the first sends of a gather that leave the data centre go as one batch to an instance there, which sends to the targets named, and returns their signatures and the greatest records. All decisions stay with the sender; results of one message are taken together, as they are pruned together; a delegate that fails or is late is avoided and its sends are made directly. HTTP connections hand over chunks as they come for it. The soak's shards now miss one zone each.

--- /dev/null
+++ b/savorycross/delegate/delegates.py
@@ -0,0 +1,118 @@
+"""Which instances make sends on this one's behalf."""
+
+import xxhash
+
+# How often the choice is made anew.
+REFRESH_S = 0.5
+# A delegate that failed is left out for the first time, then for twice as
+# long each time, up to the last.
+AVOID_FIRST_S = 1.0
+AVOID_MOST_S = 8.0
+MAX_DOUBLINGS = 4
+# Weight of one batch in the time that the way to a delegate takes.
+EWMA_WEIGHT = 0.2
+# The way there and back until the first batch has shown it.
+FIRST_OVERHEAD_S = 0.004
+# Batches that wait for one delegate's results at once.
+MAX_CONNECTIONS = 16
+
+
+class Delegate:
+    """An instance in another data centre.
+
+    :param peer: Peer.
+    :param pool: Pool of connections to it.
+    """
+
+    def __init__(self, peer, pool):
+        self.peer = peer
+        self.pool = pool
+        self.overhead_s = FIRST_OVERHEAD_S
+        self._failures = 0
+        self._avoided_until = 0.0
+
+    def is_usable(self, now):
+        """Whether it may get a batch."""
+        return now >= self._avoided_until and self.pool.has_room
+
+    def note_results(self, overhead_s):
+        """Note that results came.
+
+        :param overhead_s: time that they took beyond that of the delegate.
+        """
+        self._failures = 0
+        self._avoided_until = 0.0
+        self.overhead_s += EWMA_WEIGHT * (overhead_s - self.overhead_s)
+
+    def note_failure(self, now):
+        """Note that results are missing; return for how long it is avoided."""
+        wait = AVOID_FIRST_S * 2 ** min(self._failures, MAX_DOUBLINGS)
+        self._failures += 1
+        wait = min(wait, AVOID_MOST_S)
+        self._avoided_until = now + wait
+        return wait
+
+
+class Delegates:
+    """The delegates of this instance, by data centre.
+
+    Instances spread over the delegates of a data centre by rendezvous
+    hashing (Thaler and Ravishankar, 1998).
+
+    :param own: this instance's Peer.
+    :param peers: Peers.
+    :param make_pool: callable from an address to a Pool.
+    """
+
+    def __init__(self, own, peers, make_pool):
+        self._own = own
+        self._peers = peers
+        self._make_pool = make_pool
+        self._by_id = {}
+        self._ranked = {}
+        self._refresh_at = 0.0
+
+    def prefer(self, call_id, now):
+        """Return the data centre that a call prefers among others, or None."""
+        self._refresh(now)
+        if not self._ranked:
+            return None
+        names = sorted(self._ranked)
+        return names[xxhash.xxh32_intdigest(call_id) % len(names)]
+
+    def find(self, data_centre, now):
+        """Return the Delegate for a data centre, or None."""
+        self._refresh(now)
+        for found in self._ranked.get(data_centre, ()):
+            if found.is_usable(now):
+                return found
+        return None
+
+    def prune(self, now):
+        """Close connections that were idle for too long."""
+        for found in self._by_id.values():
+            found.pool.prune(now)
+
+    def _refresh(self, now):
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_S
+        serving = {
+            p.id: p
+            for p in self._peers.serving(now)
+            if p.data_centre != self._own.data_centre
+        }
+        for id_ in self._by_id.keys() - serving.keys():
+            self._by_id.pop(id_).pool.close()
+        for id_, peer in serving.items():
+            if id_ not in self._by_id:
+                pool = self._make_pool(tuple(peer.address))
+                pool.limit = MAX_CONNECTIONS
+                self._by_id[id_] = Delegate(peer, pool)
+        self._ranked = {}
+        for found in sorted(self._by_id.values(), key=self._rank):
+            self._ranked.setdefault(found.peer.data_centre, []).append(found)
+
+    def _rank(self, delegate):
+        pair = f'{self._own.name}/{delegate.peer.name}'
+        return xxhash.xxh32_intdigest(pair)
--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -6,6 +6,9 @@
 
     :param fetch: Fetch that it belongs to.
     :param state: TargetState it is sent to.
+
+    ``is_pruned`` tells that records were left out of the reply which are
+    not among the greatest of all replies that came with it.
     """
 
     __slots__ = (
@@ -13,9 +16,11 @@
         'data',
         'fetch',
         'is_head',
+        'is_pruned',
         'started_at',
         'state',
     )
+    on_piece = None
 
     def __init__(self, fetch, state, data, started_at):
         self.fetch = fetch
@@ -23,8 +28,17 @@
         self.data = data
         self.started_at = started_at
         self.is_head = fetch.call.method == b'HEAD'
+        self.is_pruned = False
         self.connection = None
 
+    def send(self, max_idle_s=None):
+        """Send on a connection of the target; return whether there is one.
+
+        :param max_idle_s: see ``wire.pool.Pool.send``.
+        """
+        self.connection = self.state.pool.send(self, max_idle_s)
+        return self.connection is not None
+
     def accepts(self, reply):
         """Tell whether a reply belongs to the call."""
         return self.fetch.accepts(reply)
@@ -34,6 +48,16 @@
         self.state.end(self)
         self.fetch.on_reply(self, reply)
 
+    def on_verdict(self, verdict, reply):
+        """Take what a delegate says of the reply, and the reply if any."""
+        self.state.end(self)
+        self.fetch.on_verdict(self, verdict, reply)
+
+    def on_delegate_lost(self, reason):
+        """Take the end of a delegate that was to send."""
+        self.state.end(self)
+        self.fetch.on_delegate_lost(self, reason)
+
     def on_lost(self, was_sent, reason):
         """Take the end of the connection."""
         self.state.end(self)
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -62,6 +62,9 @@
     def stamp(self, reply) -> bytes:
         """Return the target's signature in a reply."""
 
+    def make_part(self, stamp, body):
+        """Return the Reply that a signature and a body stand for."""
+
     def make_merged(self, stamps, missed, body):
         """Return the Reply that merges several targets' replies."""
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -18,6 +18,8 @@
     :param timers: Timers.
     :param log: EventLog.
     :param metrics: Registry.
+
+    ``delegates`` is set to the Delegates once other instances are known.
     """
 
     def __init__(self, site, dialect, roster, picker, timers, log, metrics):
@@ -26,6 +28,7 @@
         self.timers = timers
         self.log = log
         self.metrics = metrics
+        self.delegates = None
         self._site = site
         self._picker = picker
         self._budgets = {}
@@ -34,6 +37,11 @@
         self._started_at = self.now()
         self._is_successor = not site.is_first_start
 
+    @property
+    def data_centre(self):
+        """This instance's data centre."""
+        return self._site.data_centre
+
     def now(self):
         """Return the runtime clock time in seconds."""
         return trio.current_time()
@@ -72,10 +80,14 @@
             self._paces[route.name] = found
         return found
 
-    def pick(self, service, tried, now):
-        """Return the TargetState for a send, or None."""
+    def pick(self, service, tried, now, preferred=None):
+        """Return the TargetState for a send, or None.
+
+        :param preferred: data centre that is preferred among other ones.
+        """
         states = self.roster.usable(service)
-        return self._picker.pick(states, tried, now, self._cold_limit(service))
+        limit = self._cold_limit(service)
+        return self._picker.pick(states, tried, now, limit, preferred)
 
     def count_send(self, is_extra):
         """Count a send."""
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -34,9 +34,11 @@
     :param patient_until: time until which it waits for a usable target.
     :param on_done: called with the fetch when it is answered or failed.
     :param is_vital: tells whether the call fails without this service.
+    :param batches: Batches that may take the first send, or None.
     """
 
     __slots__ = (
+        '_batches',
         '_engine',
         '_is_vital',
         '_live',
@@ -67,6 +69,7 @@
         patient_until,
         on_done,
         is_vital=lambda: True,
+        batches=None,
     ):
         self.call = call
         self.route = route
@@ -84,6 +87,7 @@
         self._on_done = on_done
         self._pace = engine.pace(route)
         self._is_vital = is_vital
+        self._batches = batches
         self._live = set()
         self._timer = None
 
@@ -112,15 +116,32 @@
             found.abandon()
         return live
 
+    @property
+    def has_failed(self):
+        """Whether it is over without an answer."""
+        return self.state is State.FAILED
+
+    def encode(self, state, now):
+        """Return the request to a target as bytes."""
+        return self._engine.dialect.encode_send(
+            self.call, self.end_at - now, state.target.id
+        )
+
     def accepts(self, reply):
         """Tell whether a reply belongs to the call."""
         return self._engine.dialect.belongs(self.call, reply)
 
     def on_reply(self, attempt, reply):
         """Take a target's reply."""
+        self.on_verdict(attempt, self._engine.dialect.judge(reply), reply)
+
+    def on_verdict(self, attempt, verdict, reply):
+        """Take a target's reply and what it says.
+
+        :param reply: None if a delegate kept a reply that is no answer.
+        """
         self._live.discard(attempt)
         now = self._engine.now()
-        verdict = self._engine.dialect.judge(reply)
         if verdict is calls.Verdict.OK:
             self._take_answer(attempt, reply, now)
             return
@@ -145,7 +166,8 @@
         if verdict is calls.Verdict.FAILED and self.state is State.RUNNING:
             self.reply = reply
         self.may_have_run = True
-        self._retry(attempt, now, f'status {reply.status}', was_run=True)
+        reason = f'status {reply.status}' if reply else verdict.value
+        self._retry(attempt, now, reason, was_run=True)
 
     def on_lost(self, attempt, was_sent, reason):
         """Take the end of a connection without a reply."""
@@ -158,6 +180,12 @@
             self.runs -= 1
         self._retry(attempt, now, reason, was_run=was_sent)
 
+    def on_delegate_lost(self, attempt, reason):
+        """Take the end of a delegate; the target is not to blame."""
+        self._live.discard(attempt)
+        self.may_have_run = True
+        self._retry(attempt, self._engine.now(), reason, was_run=True)
+
     def _take_answer(self, attempt, reply, now):
         seconds = now - attempt.started_at
         pace = self._pace
@@ -165,6 +193,9 @@
         attempt.state.add_latency(seconds / pace.usual_s, now)
         pace.add(seconds, now)
         if self.state is not State.RUNNING:
+            # The other replies that came with it are incomplete without.
+            if attempt.is_pruned:
+                self.reply = reply
             return
         self.reply = reply
         self._finish(State.ANSWERED)
@@ -222,7 +253,9 @@
     def _send(self, now, is_hedge):
         """Send to a target; return False if none can be had."""
         engine = self._engine
-        state = engine.pick(self.service, self.tried, now)
+        batches = self._batches if self.sends == 0 else None
+        preferred = batches.preferred if batches is not None else None
+        state = engine.pick(self.service, self.tried, now, preferred)
         if state is None:
             self.reason = self.reason or 'no usable target'
             return False
@@ -230,14 +263,13 @@
         if is_extra and not self._take_budget(now, is_hedge):
             self.reason = self.reason or 'no budget'
             return False
-        data = engine.dialect.encode_send(
-            self.call, self.end_at - now, state.target.id
-        )
-        attempt = attempts.Attempt(self, state, data, now)
-        max_idle_s = None if self.route.is_idempotent else UNSAFE_IDLE_S
-        attempt.connection = state.pool.send(attempt, max_idle_s)
-        if attempt.connection is None:
-            return False
+        attempt = batches.add(self, state, now) if batches else None
+        if attempt is None:
+            data = self.encode(state, now)
+            attempt = attempts.Attempt(self, state, data, now)
+            max_idle_s = None if self.route.is_idempotent else UNSAFE_IDLE_S
+            if not attempt.send(max_idle_s):
+                return False
         state.begin(attempt, now, self._pace.usual_s)
         self._live.add(attempt)
         self.tried.add(state.target.id)
--- a/savorycross/forward/gather.py
+++ b/savorycross/forward/gather.py
@@ -2,11 +2,12 @@
 
 import math
 
+from savorycross.delegate import batch
 from savorycross.forward import call as calls
 from savorycross.forward import fetch as fetches
 from savorycross.forward import pace
+from savorycross.merge import records
 
-RECORD_BYTES = 16
 # Error of a share of services as a float.
 ROUNDING = 1e-9
 
@@ -32,6 +33,7 @@
         self._end_at = end_at
         # A repeated call may come after its objective.
         patient_until = max(objective_at, call.received_at + route.objective_s)
+        self._batches = batch.Batches(engine, call, route, end_at, self)
         self._fetches = [
             fetches.Fetch(
                 engine,
@@ -42,6 +44,7 @@
                 patient_until,
                 self._done,
                 self._is_vital,
+                self._batches,
             )
             for name in route.services
         ]
@@ -51,6 +54,7 @@
         self._failed = 0
         self._timers = ()
         self._is_over = False
+        self._is_paused = False
 
     def start(self):
         """Ask all services."""
@@ -64,6 +68,16 @@
             if self._is_over:
                 return
             found.start()
+        self._batches.send()
+
+    def pause(self):
+        """Take answers without a decision until ``resume``."""
+        self._is_paused = True
+
+    def resume(self):
+        """Decide on the answers that came meanwhile."""
+        self._is_paused = False
+        self._check()
 
     def cancel(self):
         """Stop, as the caller is gone."""
@@ -101,7 +115,11 @@
             self._answered.append(fetch)
         else:
             self._failed += 1
-        if self._is_over:
+        self._check()
+
+    def _check(self):
+        """End the call if it is time."""
+        if self._is_over or self._is_paused:
             return
         is_last = len(self._answered) + self._failed == len(self._fetches)
         if is_last or not self._is_reachable:
@@ -146,7 +164,9 @@
         reply = dialect.make_merged(
             [dialect.stamp(r) for r in replies],
             len(self._fetches) - len(replies),
-            merge_records([r.body for r in replies], self._route.record_limit),
+            records.merge_records(
+                [r.body for r in replies], self._route.record_limit
+            ),
         )
         self._end(reply, outcome)
 
@@ -154,22 +174,3 @@
         self._is_over = True
         self._timers[0].cancel()
         self._on_end(reply, outcome)
-
-
-def merge_records(bodies, limit):
-    """Return the greatest records of several bodies, greatest first.
-
-    :param bodies: records of ``RECORD_BYTES`` in any order; what is left
-        at the end of a body is no record.
-    :param limit: largest number of records.
-
-    >>> merge_records([b'a' * 16 + b'c' * 16, b'b' * 16 + b'z'], 2)[::16]
-    b'cb'
-    """
-    records = [
-        body[i : i + RECORD_BYTES]
-        for body in bodies
-        for i in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-    ]
-    records.sort(reverse=True)
-    return b''.join(records[:limit])
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -3,6 +3,8 @@
 # What a target in another data centre must be faster by, in units of the
 # usual latency.
 REMOTE_COST = 1.5
+# What one in a data centre that is not preferred must be faster by.
+SCATTER_COST = 0.5
 # A failure costs the time of two more sends and a part of the budget.
 FAILURE_COST = 4.0
 # Large services are sampled: one's own data centre first, then others.
@@ -20,7 +22,7 @@
         self._data_centre = data_centre
         self._rng = rng
 
-    def pick(self, states, tried, now, cold_limit):
+    def pick(self, states, tried, now, cold_limit, preferred=None):
         """Return a TargetState, or None.
 
         Ejected targets are taken only if no other is left.
@@ -28,6 +30,7 @@
         :param states: TargetStates of the service that may get work.
         :param tried: ids of targets that are not to be taken.
         :param cold_limit: sends to a cold target in any second, or None.
+        :param preferred: data centre that is preferred among other ones.
         """
         open_ = [
             s
@@ -38,19 +41,21 @@
         ]
         best = [s for s in open_ if not s.is_ejected(now)] or open_
         for state in sorted(
-            self._sample(best), key=lambda s: self.score(s, now)
+            self._sample(best), key=lambda s: self.score(s, now, preferred)
         ):
             if state.take_cold(now, cold_limit):
                 return state
         return None
 
-    def score(self, state, now):
+    def score(self, state, now, preferred=None):
         """Return the expected latency in units of the usual one."""
         load = 1.0 + len(state.outstanding) / state.target.slots
         failures = FAILURE_COST * state.failure_rate(now)
         found = (state.slowness(now) + state.suspicion(now) + failures) * load
         if state.target.data_centre != self._data_centre:
             found += REMOTE_COST
+            if preferred not in (None, state.target.data_centre):
+                found += SCATTER_COST
         return found + 0.01 * self._rng.random()
 
     def _sample(self, states):
--- a/savorycross/forward/roster.py
+++ b/savorycross/forward/roster.py
@@ -27,15 +27,21 @@
         """Return the declared Service of a name, or None."""
         return self._services.get(name)
 
+    def find_usable(self, target_id):
+        """Return the TargetState of an id if it may get work, or None."""
+        found = self._by_id.get(target_id)
+        return found if found is not None and self._is_usable(found) else None
+
     def usable(self, service):
         """Return the TargetStates of a service that may get work."""
         return [
-            s
-            for s in self._by_service.get(service, ())
-            if not s.target.is_draining
-            and s.target.data_centre not in self._out
+            s for s in self._by_service.get(service, ()) if self._is_usable(s)
         ]
 
+    def _is_usable(self, state):
+        target = state.target
+        return not target.is_draining and target.data_centre not in self._out
+
     def set_services(self, services):
         """Take the declared services of a configuration."""
         self._services = services
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from savorycross.delegate import delegates
+from savorycross.delegate import worker
 from savorycross.discovery import follower as followers
 from savorycross.discovery import mirror as mirrors
 from savorycross.events import log as logs
@@ -69,9 +71,7 @@
 
     def _make_forwarding(self):
         site = self._site
-        self._roster = rosters.Roster(
-            lambda address: pool.Pool(address, self._nursery), self.log
-        )
+        self._roster = rosters.Roster(self._make_pool, self.log)
         self._engine = engines.Engine(
             site,
             self._adapter.make_dialect(),
@@ -83,6 +83,9 @@
         )
         self._gateway = gateways.Gateway(self._engine)
 
+    def _make_pool(self, address):
+        return pool.Pool(address, self._nursery)
+
     def _make_discovery(self):
         self._state = states.StoreState(
             self._adapter.keys,
@@ -117,6 +120,9 @@
             site.caller_address,
         )
         self._peers = peers_module.Peers(self._own, self.log)
+        self._engine.delegates = delegates.Delegates(
+            self._own, self._peers, self._make_pool
+        )
         self._directory = entry.Directory(self._own, self._peers)
         self._beacon = beacons.Beacon(
             self._peers, site.seeds, self._describe, self._rng, self.metrics
@@ -143,7 +149,7 @@
             site.entry_address: adapter.make_directory_handler(
                 self._directory, site.keep_s
             ),
-            site.peer_address: exchange.make_handler(self._mirror),
+            site.peer_address: self._make_peer_handler(),
             site.metrics_address: self._serve_metrics,
         }
         self._servers = {
@@ -151,6 +157,18 @@
             for address, handle in handlers.items()
         }
         self._callers = self._servers[site.caller_address]
+        self._others = self._servers[site.peer_address]
+
+    def _make_peer_handler(self):
+        copy = exchange.make_handler(self._mirror)
+        found = worker.Worker(self._engine)
+
+        def handle(request, respond):
+            if request.target == worker.PATH:
+                return found.handle(request, respond)
+            return copy(request, respond)
+
+        return handle
 
     async def run(self):
         """Serve until the stop signal, then until the callers are gone."""
@@ -175,6 +193,11 @@
         start(self._watch_settings)
         await self._take_signals()
 
+    @property
+    def _busy(self):
+        """Number of connections of callers and peers that wait."""
+        return self._callers.busy + self._others.busy
+
     def _describe(self):
         return {
             'flags': self._directory.is_ready * heartbeat.READY
@@ -222,6 +245,7 @@
             await trio.sleep(PRUNE_INTERVAL_S)
             now = trio.current_time()
             self._roster.prune(now)
+            self._engine.delegates.prune(now)
             self._mirror.release(now)
             if now - started_at > LEARN_S:
                 self._engine.set_instances(self._count_instances())
@@ -286,7 +310,7 @@
         quiet_at = started_at + KEEP_FACTOR * self._site.keep_s
         end_at = started_at + self._site.grace_s - STOP_MARGIN_S
         while (now := trio.current_time()) < end_at:
-            if now >= quiet_at and not self._callers.busy:
+            if now >= quiet_at and not self._busy:
                 break
             await trio.sleep(STOP_CHECK_S)
         self.log.event('instance.stopped', cut=self._callers.busy)
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -79,6 +79,10 @@
         """Return the target's signature in a reply."""
         return reply.header(_STAMP)
 
+    def make_part(self, stamp, body):
+        """Return the Reply that a signature and a body stand for."""
+        return messages.Reply(200, ((b'Server-Stamp', stamp),), body)
+
     def make_merged(self, stamps, missed, body):
         """Return the Reply that merges several targets' replies."""
         headers = (
--- a/savorycross/wire/client.py
+++ b/savorycross/wire/client.py
@@ -13,6 +13,7 @@
     """An exchange that a task waits for."""
 
     is_head = False
+    on_piece = None
 
     def __init__(self, data):
         self.data = data
--- a/savorycross/wire/messages.py
+++ b/savorycross/wire/messages.py
@@ -82,6 +82,17 @@
     body: bytes = b''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Piece:
+    """A part of a reply that is sent while others are still missing.
+
+    :param is_last: whether the reply ends with it.
+    """
+
+    body: bytes
+    is_last: bool
+
+
 def encode_request(method, target, headers, body=b''):
     """Return a request as bytes, with the length of its body if any."""
     lines = [method + b' ' + target + b' HTTP/1.1']
@@ -112,3 +123,22 @@
         lines.append(b'Connection: close')
     head = b'\r\n'.join(lines) + b'\r\n\r\n'
     return head + reply.body if with_body else head
+
+
+def encode_piece(piece, is_first, keep_alive):
+    """Return a piece as a chunk, after the head of the reply if first.
+
+    >>> encode_piece(Piece(b'ab', True), is_first=False, keep_alive=True)
+    b'2\\r\\nab\\r\\n0\\r\\n\\r\\n'
+    """
+    parts = []
+    if is_first:
+        parts.append(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n')
+        if not keep_alive:
+            parts.append(b'Connection: close\r\n')
+        parts.append(b'\r\n')
+    if piece.body:
+        parts.append(b'%x\r\n%b\r\n' % (len(piece.body), piece.body))
+    if piece.is_last:
+        parts.append(b'0\r\n\r\n')
+    return b''.join(parts)
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -22,10 +22,15 @@
 
 
 class Exchange(typing.Protocol):
-    """A request and what becomes of it."""
+    """A request and what becomes of it.
+
+    :param on_piece: called with each chunk of a successful reply as it
+        comes, or None if the body is wanted as a whole.
+    """
 
     data: bytes
     is_head: bool
+    on_piece: typing.Callable[[bytes], None] | None
 
     def accepts(self, reply) -> bool:
         """Tell whether a reply belongs to the request."""
@@ -185,6 +190,18 @@
             raise httptools.HttpParserError('reply is too long')
         self._chunks.append(body)
 
+    def on_chunk_complete(self):
+        """Hand over a chunk to an exchange that takes pieces."""
+        exchange = self._exchange
+        if exchange is None or exchange.on_piece is None:
+            return
+        if not self._chunks or self._parser.get_status_code() != 200:
+            return
+        piece = b''.join(self._chunks)
+        self._chunks = []
+        self._size = 0
+        exchange.on_piece(piece)
+
     def on_message_complete(self):
         """Hand over a complete reply."""
         if self._parser.get_status_code() < 200:
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -54,7 +54,8 @@
     def __call__(self, request, respond) -> Running | None:
         """Handle a request.
 
-        :param respond: called once with the Reply.
+        :param respond: called once with the Reply, or with one Piece after
+            the other until the last.
         """
 
 
@@ -75,6 +76,7 @@
         self._running = None
         self._current = None
         self._is_reading = False
+        self._is_streaming = False
         self._head_bytes = 0
         self._touched_at = now
         self._reset()
@@ -212,8 +214,15 @@
         if request is None:
             return
         keep = request.keep_alive and not self._server.is_stopping
-        has_body = request.method != b'HEAD'
-        self._transport.write(messages.encode_reply(reply, keep, has_body))
+        if isinstance(reply, messages.Piece):
+            is_first = not self._is_streaming
+            self._transport.write(messages.encode_piece(reply, is_first, keep))
+            self._is_streaming = not reply.is_last
+            if self._is_streaming:
+                return
+        else:
+            has_body = request.method != b'HEAD'
+            self._transport.write(messages.encode_reply(reply, keep, has_body))
         self._current = None
         self._running = None
         self._touched_at = trio.current_time()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from savorycross.forward import gather
+from savorycross.merge import records
 from standins import backend as backends
 
 DRAIN_S = 3.0
@@ -65,7 +65,7 @@
         if len(services) < MIN_COVERAGE * (len(services) + missing):
             self.fail('coverage', f'{id_}: {len(services)} parts')
         bodies = [backends.make_records(s, id_) for s in services]
-        if reply.body != gather.merge_records(bodies, TOP):
+        if reply.body != records.merge_records(bodies, TOP):
             self.fail('mixed', f'{id_}: records')
 
     def finish(self):
--- a/soak/world.py
+++ b/soak/world.py
@@ -192,9 +192,14 @@
         return f'{self._net}.250', STORE_ADDRESS_PORT
 
     async def _start_backends(self):
-        for service in (*itertools.chain(*SHARD_SETS), *SINGLE):
+        for service in SINGLE:
+            for zone in ZONES:
+                await self._add_backend(service, zone)
+        # Each shard is missing in one zone, which needs delegates for it.
+        for number, service in enumerate(itertools.chain(*SHARD_SETS)):
             for i in range(COPIES):
-                await self._add_backend(service, ZONES[i % len(ZONES)])
+                zone = ZONES[(number + i % 2) % len(ZONES)]
+                await self._add_backend(service, zone)
 
     async def _add_backend(self, service, zone):
         found = backends.Backend(
--- /dev/null
+++ b/tests/delegate/test_batch.py
@@ -0,0 +1,194 @@
+"""Sends that go through a delegate, as the sender sees them."""
+
+from savorycross.delegate import delegates
+from savorycross.delegate import message
+from savorycross.fleet import heartbeat
+from savorycross.forward import gather
+from savorycross.wire import messages
+from tests.forward import world
+
+FAR = ('f1', 'f2', 'f3')
+OK = message.Outcome.OK
+
+
+class FakePeers:
+    """A list of serving instances."""
+
+    def __init__(self, *found):
+        self.found = list(found)
+
+    def serving(self, now):
+        """Return all."""
+        return self.found
+
+
+def make_peer(name, data_centre='donosti'):
+    return heartbeat.Peer(
+        name, 1, data_centre, (f'10.1.0.{len(name)}', 1), ('10.1.0.1', 2)
+    )
+
+
+class Run:
+    """A gather over one service nearby and three far away.
+
+    Each far service has a target in two other data centres.
+    """
+
+    def __init__(self, far=FAR, peers=('b', 'cc'), **fields):
+        self.engine = world.FakeEngine()
+        self.batches = []
+        self.peers = FakePeers(*(make_peer(name) for name in peers))
+        self.engine.delegates = delegates.Delegates(
+            make_peer('a', 'bilbo'), self.peers, self._make_pool
+        )
+        self.engine.add_target('near', 'n1')
+        self.engine.add_target('near-2', 'n1')
+        for name in far:
+            self.engine.add_target(f'{name}-d', name, 'donosti')
+            self.engine.add_target(f'{name}-i', name, 'iruna')
+        self.ends = []
+        self.gather = gather.Gather(
+            self.engine,
+            world.make_call(),
+            world.make_route(('n1', *far), **fields),
+            objective_at=100.2,
+            end_at=101.0,
+            on_end=lambda reply, outcome: self.ends.append((reply, outcome)),
+        )
+        self.gather.start()
+
+    def _make_pool(self, address):
+        return world.FakePool(address, self.batches)
+
+    @property
+    def batch(self):
+        """The only batch that was sent."""
+        (found,) = self.batches
+        body = found.data.partition(b'\r\n\r\n')[2]
+        return message.decode_batch(body)
+
+    def give(self, *results, is_last=False, elapsed_ms=5.0):
+        """Return results to the sender."""
+        (found,) = self.batches
+        rows = tuple(message.Result(*r) for r in results)
+        found.on_piece(message.encode(message.Results(elapsed_ms, rows)))
+        if is_last:
+            found.on_reply(messages.Reply(200))
+
+    def answer_near(self):
+        """Answer the send nearby."""
+        self.engine.sends[0].on_reply(world.reply(stamp=b'n1', body=b'n' * 16))
+
+
+def part(number, letter, stamp=None):
+    """Return the result of an answer with one record."""
+    name = b'f%d' % (number + 1) if stamp is None else stamp
+    return (number, OK, 3.0, name, letter * 16)
+
+
+def test_far_sends_of_a_call_go_in_one_batch():
+    run = Run()
+    assert run.batch.targets == ('f1-d', 'f2-d', 'f3-d')
+    assert run.batch.id == world.ID
+    assert [e.state.target.id for e in run.engine.sends] in (
+        ['near'],
+        ['near-2'],
+    )
+    run.answer_near()
+    run.give(part(0, b'x'), part(1, b'a'), part(2, b'z'), is_last=True)
+    ((reply, outcome),) = run.ends
+    assert outcome == 'answered'
+    assert reply.header(b'parts') == b'n1, f1, f2, f3'
+    assert reply.body[::16] == b'zxna'
+
+
+def test_single_far_send_goes_directly():
+    run = Run(far=('f1',))
+    assert not run.batches
+    assert len(run.engine.sends) == 2
+
+
+def test_far_sends_go_directly_without_a_delegate():
+    run = Run(peers=())
+    assert not run.batches
+    assert len(run.engine.sends) == 4
+
+
+def test_lost_delegate_is_replaced_by_direct_sends_and_avoided():
+    run = Run()
+    run.batches[0].on_lost(True, 'reset')
+    assert len(run.engine.sends) == 4
+    assert not any(
+        s.is_ejected(run.engine.now()) for s in run.engine.roster.states()
+    )
+    first = run.batches[0]
+    run.gather.cancel()
+    again = run.engine.delegates.find('donosti', run.engine.now())
+    assert again.pool.address != first._delegate.pool.address
+
+
+def test_silent_delegate_is_avoided_and_its_sends_are_hedged():
+    run = Run()
+    run.answer_near()
+    run.engine.advance(0.15)
+    assert {e.state.target.id for e in run.engine.sends[1:]} == {
+        'f1-i',
+        'f2-i',
+        'f3-i',
+    }
+    used = run.batches[0]._delegate
+    assert run.engine.delegates.find('donosti', run.engine.now()) is not used
+
+
+def test_failed_send_of_a_delegate_is_made_again_elsewhere():
+    run = Run()
+    lost = (0, message.Outcome.LOST, 3.0)
+    run.give(lost, part(1, b'a'), part(2, b'z'), is_last=True)
+    assert run.engine.sends[-1].state.target.id == 'f1-i'
+
+
+def test_parts_of_one_message_replace_an_answer_of_a_hedge():
+    run = Run()
+    run.answer_near()
+    run.engine.advance(0.095)
+    hedge = next(e for e in run.engine.sends if e.state.target.id == 'f1-i')
+    hedge.on_reply(world.reply(stamp=b'hedge', body=b'y' * 16))
+    run.give(part(0, b'x'), part(1, b'a'), part(2, b'z'), is_last=True)
+    ((reply, _),) = run.ends
+    assert reply.header(b'parts') == b'n1, f1, f2, f3'
+    assert b'y' not in reply.body
+
+
+def test_parts_of_one_message_are_taken_together_after_the_objective():
+    run = Run(min_coverage=0.5)
+    run.engine.advance(0.3)
+    run.give(part(0, b'x'), part(1, b'a'), part(2, b'z'), is_last=True)
+    ((reply, _),) = run.ends
+    assert reply.header(b'parts') == b'f1, f2, f3'
+
+
+def test_leaving_caller_ends_the_batch():
+    run = Run()
+    connection = run.batches[0]._connection
+    run.gather.cancel()
+    assert connection.is_closed
+
+
+def test_results_that_cannot_be_read_end_the_batch():
+    run = Run()
+    run.batches[0].on_piece(b'\xc1')
+    assert len(run.engine.sends) == 4
+
+
+def test_end_without_results_is_a_loss():
+    run = Run()
+    run.batches[0].on_reply(messages.Reply(400))
+    assert len(run.engine.sends) == 4
+
+
+def test_latency_of_a_target_leaves_out_the_wait_for_others():
+    run = Run()
+    run.engine.advance(0.05)
+    run.give((0, OK, 10.0, b'f1', b'x' * 16), elapsed_ms=48.0)
+    pace = run.engine.pace(run.gather._route)
+    assert abs(pace.usual_s - 0.012) < 1e-6
--- /dev/null
+++ b/tests/delegate/test_worker.py
@@ -0,0 +1,154 @@
+"""Batches as a delegate handles them."""
+
+import pytest
+
+from savorycross.delegate import message
+from savorycross.delegate import worker
+from savorycross.wire import messages
+from tests.forward import world
+
+OK = message.Outcome.OK
+
+
+class Run:
+    """A worker with three targets, and what it returned."""
+
+    def __init__(self, targets=('a', 'b', 'c'), **fields):
+        self.engine = world.FakeEngine()
+        for name in ('a', 'b', 'c'):
+            self.engine.add_target(name, f's-{name}')
+        self.worker = worker.Worker(self.engine)
+        self.pieces = []
+        given = {
+            'format': message.FORMAT,
+            'id': world.ID,
+            'method': b'GET',
+            'path': b'/p/x?y',
+            'headers': ((b'Host', b'h'), (b'Request-Id', world.ID)),
+            'body': b'',
+            'remaining_ms': 500,
+            'flush_ms': 20,
+            'usual_ms': 10.0,
+            'record_limit': 2,
+            'targets': targets,
+            **fields,
+        }
+        self.running = self.handle(message.encode(message.Batch(**given)))
+
+    def handle(self, body):
+        request = messages.Request(b'POST', worker.PATH, (), body)
+        return self.worker.handle(request, self.pieces.append)
+
+    def answer(self, n, body=b'', **fields):
+        """Answer the nth send."""
+        stamp = b's%d' % n
+        self.engine.sends[n].on_reply(
+            world.reply(stamp=stamp, body=body, **fields)
+        )
+
+    @property
+    def results(self):
+        """The results of each piece."""
+        return [message.decode_results(p.body).results for p in self.pieces]
+
+
+def test_all_results_go_out_together_without_records_that_a_merge_drops():
+    run = Run()
+    run.answer(0, b'a' * 16 + b'z' * 16)
+    run.answer(1, b'b' * 16)
+    assert not run.pieces
+    run.answer(2, b'y' * 16 + b'c' * 16)
+    (rows,) = run.results
+    assert run.pieces[0].is_last
+    assert [(r.number, r.stamp, r.records[::16]) for r in rows] == [
+        (0, b's0', b'z'),
+        (1, b's1', b''),
+        (2, b's2', b'y'),
+    ]
+
+
+def test_send_has_path_deadline_and_target_of_the_batch():
+    run = Run(('b',))
+    data = run.engine.sends[0].data
+    assert data.startswith(b'GET /p/x?y HTTP/1.1\r\n')
+    assert b'Expect-Instance: b\r\n' in data
+    assert b'Deadline-Ms: 500\r\n' in data
+
+
+def test_results_so_far_go_out_at_the_named_time_and_late_ones_alone():
+    run = Run()
+    run.answer(0, b'a' * 16)
+    run.engine.advance(0.021)
+    run.engine.advance(0.1)
+    run.answer(1, b'b' * 16)
+    run.answer(2, b'c' * 16)
+    assert [[r.number for r in rows] for rows in run.results] == [
+        [0],
+        [1],
+        [2],
+    ]
+    assert [p.is_last for p in run.pieces] == [False, False, True]
+
+
+def test_delegate_shows_that_it_lives_though_no_target_answers():
+    run = Run()
+    run.engine.advance(0.021)
+    assert run.results == [()]
+
+
+def test_what_has_no_reply_in_time_is_lost_and_closed():
+    run = Run(('a',))
+    run.engine.advance(0.5)
+    assert run.results[-1][0].outcome is message.Outcome.LOST
+    assert run.pieces[-1].is_last
+    assert run.engine.sends[0].connection.is_closed
+
+
+def test_unknown_or_draining_target_is_not_sent_to():
+    run = Run(('x', 'a'))
+    run.answer(0)
+    outcomes = [r.outcome for r in run.results[0]]
+    assert outcomes == [message.Outcome.NOT_RUN, OK]
+
+
+def test_full_pool_is_told_as_not_run(monkeypatch):
+    monkeypatch.setattr(world.FakePool, 'send', lambda *args: None)
+    run = Run(('a',))
+    assert run.results[0][0].outcome is message.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields', 'outcome'),
+    [
+        (500, {}, message.Outcome.FAILED),
+        (503, {'Not_Run': b'1'}, message.Outcome.NOT_RUN),
+        (421, {}, message.Outcome.MISDIRECTED),
+        (200, {'content_encoding': b'gzip'}, message.Outcome.INVALID),
+    ],
+)
+def test_failures_are_told_apart(status, fields, outcome):
+    run = Run(('a',))
+    run.answer(0, status=status, **fields)
+    assert run.results[0][0].outcome is outcome
+
+
+def test_sender_that_leaves_ends_all_sends():
+    run = Run()
+    run.running.cancel()
+    assert all(e.connection.is_closed for e in run.engine.sends)
+    run.engine.advance(1.0)
+    assert not run.pieces
+
+
+@pytest.mark.parametrize('body', [b'', b'\xc1', b'\x91\x01'])
+def test_batch_that_cannot_be_read_is_refused(body):
+    run = Run()
+    run.pieces.clear()
+    assert run.handle(body) is None
+    assert run.pieces[0].status == 400
+
+
+def test_reply_of_another_call_is_not_accepted():
+    run = Run(('a',))
+    assert not run.engine.sends[0].accepts(world.reply(id_=b'other'))
+    assert run.engine.sends[0].accepts(world.reply())
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -117,6 +117,24 @@
         assert reply.header(b'parts').count(b'b') == 6
 
 
+async def test_far_parts_come_through_a_delegate_or_directly(site):
+    site.world.reshard()
+    await trio.sleep(2.0)
+    for id_ in (b'id-1', b'id-2'):
+        reply = await site.call(b'/all/x', id_)
+        assert reply.header(b'missing-parts') == b'0'
+        site.world.checks.check_gather(id_.decode(), reply)
+        if id_ == b'id-1':
+            text = await site.metrics(1)
+            assert 'savorycross_delegated_sends 2\n' in text
+            site.world.instances[1].send(signal.SIGSTOP)
+    await trio.sleep(0.3)
+    site.world.instances[1].send(signal.SIGCONT)
+    assert not site.world.checks.violations
+    events = [x.event for x in site.story('id-2').lines]
+    assert 'delegate.failed' in events
+
+
 async def test_instance_that_starts_without_the_store_asks_its_peers(site):
     site.world.store.is_busy = True
     second = site.world.instances[1]
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -10,6 +10,7 @@
     """An exchange that keeps what it hears."""
 
     is_head = False
+    on_piece = None
 
     def __init__(self, data=b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'):
         self.data = data
@@ -161,3 +162,20 @@
         assert (await _call(found)).reply.body == b'ok'
         found.prune(trio.current_time())
     assert found.opened == 1
+
+
+async def test_chunks_are_handed_over_as_they_come(listen, nursery):
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    found = pool.Pool(
+        await listen(head + b'2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n', OK), nursery
+    )
+    exchange = Exchange()
+    pieces = []
+    exchange.on_piece = pieces.append
+    found.send(exchange)
+    with trio.fail_after(5):
+        await exchange.done.wait()
+    assert pieces == [b'ab', b'cde']
+    assert exchange.reply.body == b''
+    assert (await _call(found)).reply.body == b'ok'
+    assert found.opened == 1
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -201,3 +201,17 @@
     await world.stream.send_all(GET)
     assert await world.read_all() == b''
     assert not world.server._connections
+
+
+async def test_pieces_of_a_reply_go_out_as_they_come(world):
+    world.handled.answers_at_once = False
+    await world.stream.send_all(GET + GET.replace(b'/a', b'/c'))
+    await trio.testing.wait_all_tasks_blocked()
+    respond = world.handled.responds[0]
+    respond(messages.Piece(b'ab', False))
+    first = await world.read()
+    assert first.endswith(b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n')
+    assert len(world.handled.requests) == 1
+    respond(messages.Piece(b'c', True))
+    assert await world.read() == b'1\r\nc\r\n0\r\n\r\n'
+    assert len(world.handled.requests) == 2
