Read the store's changes less often where there is time for them

Change: up to 28 instances pause between two watches for as long as 0.4 of the time in which a change is due (2 s at a bound of 5 s; 1 s before). That time now heeds the bound on data centres taken out as well. A few instances pause 0.3 s as before.

Ruled out: watching through a neighbour, whose frozen or cut watch would delay others that are in touch.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -1,5 +1,7 @@
 """Keeps a mirror up to date with the store."""
 
+import dataclasses
+
 import trio
 
 from savorycross import errors
@@ -12,16 +14,28 @@
 LONGEST_WAIT_S = 20.0
 # Changes that come close together are read with one call. The store's
 # rates grow more slowly than the number of instances, so many instances
-# read less often each, within the seconds in which changes are due.
+# read less often each, up to this share of the time in which changes are due.
 COALESCE_S = 0.3
-COALESCE_MOST_S = 1.0
-COALESCE_PER_INSTANCE_S = 0.04
+COALESCE_SHARE = 0.4
+COALESCE_PER_INSTANCE_S = 0.07
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
 
 
-def watch_wait(settled_s, applied_s):
-    """Return for how many seconds a watch may wait.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """How long a follower waits.
+
+    :param wait_s: seconds for which a watch waits for changes.
+    :param pause_most_s: most seconds between two watches.
+    """
+
+    wait_s: float
+    pause_most_s: float
+
+
+def make_timing(settled_s, applied_s):
+    """Return the Timing for the bounds on changes.
 
     A watch that the store took during an outage may stay silent for good.
     It must end before the first change is due that counts again.
@@ -29,8 +43,10 @@
     :param settled_s: time after an outage from which changes count.
     :param applied_s: time in which a change must be in force.
     """
-    found = settled_s + applied_s - WATCH_GRACE_S - COALESCE_MOST_S - SPARE_S
-    return min(max(found, SHORTEST_WAIT_S), LONGEST_WAIT_S)
+    pause_s = max(COALESCE_S, COALESCE_SHARE * applied_s)
+    found = settled_s + applied_s - WATCH_GRACE_S - pause_s - SPARE_S
+    wait_s = min(max(found, SHORTEST_WAIT_S), LONGEST_WAIT_S)
+    return Timing(wait_s, pause_s)
 
 
 class Follower:
@@ -41,7 +57,7 @@
     :param store: ItemStore.
     :param mirror: Mirror.
     :param log: EventLog.
-    :param wait_s: seconds for which a watch waits for changes.
+    :param timing: Timing.
     :param on_synced: called after each answer.
     :param count: callable that returns the number of instances.
     """
@@ -51,14 +67,14 @@
         store,
         mirror,
         log,
-        wait_s,
+        timing,
         on_synced=lambda: None,
         count=lambda: 1,
     ):
         self._store = store
         self._mirror = mirror
         self._log = log
-        self._wait_s = wait_s
+        self._timing = timing
         self._on_synced = on_synced
         self._count = count
         self._scope = trio.CancelScope()
@@ -115,8 +131,9 @@
         self._log.event('store.listed', items=len(keys), revision=first)
 
     async def _watch(self):
-        with trio.move_on_after(self._wait_s + WATCH_GRACE_S) as scope:
-            page = await self._store.watch(self._mirror.revision, self._wait_s)
+        wait_s = self._timing.wait_s
+        with trio.move_on_after(wait_s + WATCH_GRACE_S) as scope:
+            page = await self._store.watch(self._mirror.revision, wait_s)
         if scope.cancelled_caught:
             raise errors.StoreUnavailableError('watch stayed silent')
         self._note_answer()
@@ -125,7 +142,7 @@
         self._on_synced()
         if page.items:
             pause_s = max(COALESCE_S, self._count() * COALESCE_PER_INSTANCE_S)
-            await trio.sleep(min(pause_s, COALESCE_MOST_S))
+            await trio.sleep(min(pause_s, self._timing.pause_most_s))
 
     def _take(self, items):
         now = trio.current_time()
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -105,7 +105,7 @@
             self._store,
             self._mirror,
             self.log,
-            followers.watch_wait(self._site.settled_s, self._site.applied_s),
+            followers.make_timing(self._site.settled_s, self._site.applied_s),
             self._on_synced,
             self._count_instances,
         )
--- a/savorycross/gateway/site.py
+++ b/savorycross/gateway/site.py
@@ -44,6 +44,8 @@
     :param settled_s: seconds after an outage from which bounds hold again.
     :param apply_s: seconds in which a configuration must be in force.
     :param drain_s: seconds after which a leaving target gets nothing.
+    :param evacuate_s: seconds after which a data centre gets nothing that
+        was taken out.
     :param keep_most_s: most seconds for which callers keep the entry answer.
     """
 
@@ -61,6 +63,7 @@
     settled_s: float
     apply_s: float
     drain_s: float
+    evacuate_s: float
     keep_most_s: float
     extra: ExtraLimits
     cold: ColdLimits
@@ -68,7 +71,7 @@
     @property
     def applied_s(self):
         """Seconds in which any change must be in force."""
-        return min(self.apply_s, self.drain_s)
+        return min(self.apply_s, self.drain_s, self.evacuate_s)
 
     @property
     def keep_s(self):
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -17,6 +17,7 @@
     contact_ms: float = 4000
     drain_ms: float = 3000
     apply_ms: float = 3000
+    evac_ms: float = 5000.0
     grace_s: float = 6.0
     ttl_max_s: float = 5.0
     retry_ratio: float = 0.2
@@ -87,6 +88,7 @@
         settled_s=bounds.contact_ms / 1000,
         apply_s=bounds.apply_ms / 1000,
         drain_s=bounds.drain_ms / 1000,
+        evacuate_s=bounds.evac_ms / 1000,
         keep_most_s=bounds.ttl_max_s,
         extra=site.ExtraLimits(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -129,6 +129,7 @@
         settled_s=4.0,
         apply_s=3.0,
         drain_s=3.0,
+        evacuate_s=5.0,
         keep_most_s=5.0,
         extra=site.ExtraLimits(0.2, slack, 10.0),
         cold=site.ColdLimits(1.5, 5.0),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,6 +41,14 @@
     assert found.is_first_start
 
 
+@pytest.mark.parametrize('name', ['apply_ms', 'drain_ms', 'evac_ms'])
+def test_changes_are_due_within_the_shortest_bound(tmp_path, name):
+    found = _read(
+        tmp_path, FILE.replace('[bounds]', f'[bounds]\n{name} = 900')
+    )
+    assert found.applied_s == 0.9
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'named'),
     [
