Count failed sends by service and cause, cold targets, spent budgets

Operators saw sends and outcomes only by kind. Failures are now counted by service (300 of them by name) and cause; gauges tell of cold targets, open connections, spent budgets and usable delegates. Budgets of services that nothing was sent to for a whole window are forgotten: the table grew with all services ever seen.

--- a/savorycross/delegate/delegates.py
+++ b/savorycross/delegate/delegates.py
@@ -88,6 +88,11 @@
                 return found
         return None
 
+    def count(self, now):
+        """Return how many delegates may get a batch."""
+        self._refresh(now)
+        return sum(d.is_usable(now) for d in self._by_id.values())
+
     def prune(self, now):
         """Close connections that were idle for too long."""
         for found in self._by_id.values():
--- a/savorycross/forward/budget.py
+++ b/savorycross/forward/budget.py
@@ -58,6 +58,16 @@
         """
         return self._take(now, RETRY_RESERVE if is_vital else VITAL_RESERVE)
 
+    def is_spent(self, now):
+        """Whether no extra send is allowed."""
+        self._slot(now)
+        return self._sends + 1 > self._allowed(now)
+
+    def is_idle(self, now):
+        """Whether the window is empty and holds nothing back."""
+        self._slot(now)
+        return not self._requests and not self._sends and now >= self._full_at
+
     def _take(self, now, reserve):
         slot = self._slot(now)
         if self._sends + 1 > self._allowed(now) * (1.0 - reserve):
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -6,6 +6,8 @@
 from savorycross.forward import pace as paces
 
 MAX_PACES = 2000
+# Services that have failures counted by name; others are counted together.
+MAX_COUNTED_SERVICES = 300
 
 
 class Engine:
@@ -33,6 +35,7 @@
         self._picker = picker
         self._budgets = {}
         self._paces = {}
+        self._counted = set()
         self._instances = 1
         self._started_at = self.now()
         self._is_successor = not site.is_first_start
@@ -93,6 +96,32 @@
         """Count a send."""
         self.metrics.count('sends', kind='extra' if is_extra else 'first')
 
+    def count_failure(self, service, reason):
+        """Count a send that brought no answer.
+
+        :param reason: text whose part before a colon is the cause.
+        """
+        if service not in self._counted:
+            if len(self._counted) < MAX_COUNTED_SERVICES:
+                self._counted.add(service)
+            else:
+                service = 'other'
+        cause = reason.partition(':')[0]
+        self.metrics.count('send_failures', service=service, cause=cause)
+
+    def count_spent(self, now):
+        """Return for how many services no extra send is allowed."""
+        return sum(b.is_spent(now) for b in self._budgets.values())
+
+    def prune(self, now):
+        """Forget budgets that nothing was counted in for a whole window."""
+        self.delegates.prune(now)
+        self._budgets = {
+            service: found
+            for service, found in self._budgets.items()
+            if not found.is_idle(now)
+        }
+
     def _cold_limit(self, service):
         found = self.roster.service(service)
         if found is None or not found.cold_rate:
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -215,6 +215,7 @@
 
     def _retry(self, attempt, now, reason, was_run):
         """Send again after a failure, if the route allows it."""
+        self._engine.count_failure(self.service, reason)
         self.reason = reason
         if self.state is not State.RUNNING:
             return
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -111,12 +111,16 @@
         self._failure_rate = current + TRIAL_WEIGHT * (value - current)
         self._tried_at = now
 
+    def is_cold(self, now):
+        """Whether the target bears little yet."""
+        return now < self.cold_until
+
     def take_cold(self, now, limit):
         """Count a send to a cold target; return False beyond the limit.
 
         :param limit: sends in any second, or None for no bound.
         """
-        if limit is None or now >= self.cold_until:
+        if limit is None or not self.is_cold(now):
             return True
         since = now - COLD_WINDOW_S
         self._cold_sends = [t for t in self._cold_sends if t > since]
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -177,7 +177,6 @@
             data_centre=self._site.data_centre,
             seeds=len(self._site.seeds),
             is_first_start=self._site.is_first_start,
-            cpu_s=round(time.process_time(), 3),
         )
         # Limits are shared with others before any of them was heard.
         self._engine.set_instances(len(self._site.seeds) + 1)
@@ -245,7 +244,7 @@
             await trio.sleep(PRUNE_INTERVAL_S)
             now = trio.current_time()
             self._roster.prune(now)
-            self._engine.delegates.prune(now)
+            self._engine.prune(now)
             self._mirror.release(now)
             if now - started_at > LEARN_S:
                 self._engine.set_instances(self._count_instances())
@@ -263,9 +262,13 @@
         gauge('store_revision', self._mirror.revision)
         gauge('instances', self._count_instances())
         gauge('busy_callers', self._callers.busy)
-        gauge('targets', len(self._roster.states()))
-        ejected = sum(s.is_ejected(now) for s in self._roster.states())
-        gauge('targets_ejected', ejected)
+        states = self._roster.states()
+        gauge('targets', len(states))
+        gauge('targets_ejected', sum(s.is_ejected(now) for s in states))
+        gauge('targets_cold', sum(s.is_cold(now) for s in states))
+        gauge('target_connections', sum(s.pool.size for s in states))
+        gauge('budgets_spent', self._engine.count_spent(now))
+        gauge('delegates', self._engine.delegates.count(now))
         headers = ((b'Content-Type', METRICS_TYPE),)
         body = self.metrics.render().encode()
         respond(messages.Reply(200, headers, body))
--- a/savorycross/wire/pool.py
+++ b/savorycross/wire/pool.py
@@ -20,6 +20,11 @@
         self._idle = []
         self._all = set()
 
+    @property
+    def size(self):
+        """Number of open connections."""
+        return len(self._all)
+
     @property
     def has_room(self):
         """Whether an exchange can be sent now."""
