Count a send that never left as no first send, and give it up sooner

Cause: targets that go dark take no connection. Such a send waited a second for its connection, its replacement was paid for as a repeat although nothing had arrived, and a call that must run once waited with it.

Ruled out: refunds for refused sends, which arrive and count.

Change: when a second target would be asked, sends without a connection are given up, also of calls that run once; a send after only such ones is the first.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -232,6 +232,7 @@
     """The connection of one member of a batch."""
 
     __slots__ = ('_batch', '_member')
+    was_sent = True
 
     def __init__(self, batch, member):
         self._batch = batch
--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -39,6 +39,11 @@
         self.connection = self.state.pool.send(self, max_idle_s)
         return self.connection is not None
 
+    @property
+    def was_sent(self):
+        """Whether any byte may have left for the target."""
+        return self.connection is None or self.connection.was_sent
+
     def accepts(self, reply):
         """Tell whether a reply belongs to the call."""
         return self.fetch.accepts(reply)
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -57,6 +57,7 @@
         'service',
         'state',
         'tried',
+        'unsent',
     )
 
     def __init__(
@@ -83,6 +84,7 @@
         self.tried = set()
         self.runs = 0
         self.sends = 0
+        self.unsent = 0
         self._engine = engine
         self._on_done = on_done
         self._pace = engine.pace(route)
@@ -178,6 +180,7 @@
             self.may_have_run = True
         else:
             self.runs -= 1
+            self.unsent += 1
         self._retry(attempt, now, reason, was_run=was_sent)
 
     def on_delegate_lost(self, attempt, reason):
@@ -260,7 +263,7 @@
         if state is None:
             self.reason = self.reason or 'no usable target'
             return False
-        is_extra = self.sends > 0
+        is_extra = self.sends > self.unsent
         if is_extra and not self._take_budget(now, is_hedge):
             self.reason = self.reason or 'no budget'
             return False
@@ -277,7 +280,8 @@
         self.sends += 1
         self.runs += 1
         engine.count_send(is_extra)
-        if self.route.is_idempotent and self._may_send_more():
+        may_hedge = self.route.is_idempotent and self._may_send_more()
+        if may_hedge or not attempt.was_sent:
             delay = self._pace.hedge_delay(now)
             self._set_timer(now + delay, self._hedge)
         return True
@@ -292,9 +296,21 @@
         now = self._engine.now()
         if self.state is not State.RUNNING or now >= self.end_at:
             return
+        self._give_up_connecting(now)
+        if self._live and not self.route.is_idempotent:
+            return
         if self._may_send_more():
             self._send(now, is_hedge=True)
 
+    def _give_up_connecting(self, now):
+        """End sends that still wait for their connection."""
+        for attempt in [a for a in self._live if not a.was_sent]:
+            self._live.discard(attempt)
+            attempt.abandon()
+            self.runs -= 1
+            self.unsent += 1
+            self._note_failure(attempt, now, 'connect')
+
     def _set_timer(self, when, callback=None):
         if self._timer is not None:
             self._timer.cancel()
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -72,6 +72,11 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
+    @property
+    def was_sent(self):
+        """Whether any byte of the present request was written."""
+        return self._was_sent
+
     def start(self, exchange):
         """Send a request, once connected."""
         self._exchange = exchange
