Look for missing targets more often after a restart or an outage

Change: while more than a tenth of the services of routes have no usable target, changes are read every 0.3 s, for 6 s after a restart or an outage, but not at the first start of the whole system, before callers come.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -18,6 +18,9 @@
 COALESCE_S = 0.3
 COALESCE_SHARE = 0.4
 COALESCE_PER_INSTANCE_S = 0.07
+# Entries that lapsed in an outage are written again within seconds of its
+# end; for so long services without a target are looked for more often.
+URGENT_S = 6.0
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
 
@@ -60,6 +63,8 @@
     :param timing: Timing.
     :param on_synced: called after each answer.
     :param count: callable that returns the number of instances.
+    :param is_lacking: callable that tells whether something is still
+        missing without which requests fail.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         timing,
         on_synced=lambda: None,
         count=lambda: 1,
+        is_lacking=lambda: False,
     ):
         self._store = store
         self._mirror = mirror
@@ -77,6 +83,8 @@
         self._timing = timing
         self._on_synced = on_synced
         self._count = count
+        self._is_lacking = is_lacking
+        self._urgent_until = 0.0
         self._scope = trio.CancelScope()
         self._failed_at = None
         self.is_connected = False
@@ -88,6 +96,7 @@
     async def run(self):
         """Follow the store until cancelled."""
         pause = RETRY_FIRST_S
+        self._urgent_until = trio.current_time() + URGENT_S
         while True:
             try:
                 if not await self._follow():
@@ -141,8 +150,14 @@
         self._mirror.revision = max(page.revision, self._mirror.revision)
         self._on_synced()
         if page.items:
-            pause_s = max(COALESCE_S, self._count() * COALESCE_PER_INSTANCE_S)
-            await trio.sleep(min(pause_s, self._timing.pause_most_s))
+            await trio.sleep(self._pause_s())
+
+    def _pause_s(self):
+        """Return for how long changes are left to gather in the store."""
+        if trio.current_time() < self._urgent_until and self._is_lacking():
+            return COALESCE_S
+        found = max(COALESCE_S, self._count() * COALESCE_PER_INSTANCE_S)
+        return min(found, self._timing.pause_most_s)
 
     def _take(self, items):
         now = trio.current_time()
@@ -154,6 +169,7 @@
         if self._failed_at is None:
             return
         now = trio.current_time()
+        self._urgent_until = now + URGENT_S
         self._mirror.note_outage(now)
         self._log.event('store.regained', after_s=now - self._failed_at)
         self._failed_at = None
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -8,6 +8,8 @@
 # Time before the end of a request in which its failure is told.
 END_MARGIN_S = 0.01
 NOT_READY_RETRY_S = 0.5
+# Some services of routes may never have targets.
+LACKING_SHARE = 0.1
 # Events that tell of nothing but success.
 SUCCESSES = ('request.answered',)
 
@@ -29,6 +31,19 @@
         self._splits = {}
         self._engine.roster.set_services(configuration.services)
 
+    def is_lacking(self):
+        """Whether many services of routes have no usable target."""
+        if self.configuration is None:
+            return True
+        usable = self._engine.roster.usable
+        services = {
+            service
+            for route in self.configuration.routes
+            for service in route.services
+        }
+        missing = sum(not usable(service) for service in services)
+        return missing > LACKING_SHARE * len(services)
+
     def handle(self, request, respond):
         """Handle a request; see ``wire.server.Handler``."""
         dialect = self._engine.dialect
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -108,8 +108,13 @@
             followers.make_timing(self._site.settled_s, self._site.applied_s),
             self._on_synced,
             self._count_instances,
+            self._is_lacking,
         )
 
+    def _is_lacking(self):
+        """Whether targets are missing that callers already wait for."""
+        return not self._site.is_first_start and self._gateway.is_lacking()
+
     def _make_fleet(self):
         site = self._site
         self._own = heartbeat.Peer(
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -94,6 +94,33 @@
     assert len(store.calls) <= 8
 
 
+@pytest.mark.parametrize('is_lacking', [True, False])
+async def test_missing_targets_are_looked_for_more_often_after_a_start(
+    nursery, autojump_clock, is_lacking
+):
+    store = fakes.FakeStore()
+    copy = mirror.Mirror(lambda key, found: None)
+    found = follower.Follower(
+        store,
+        copy,
+        null_log.NullLog(),
+        TIMING,
+        count=lambda: 28,
+        is_lacking=lambda: is_lacking,
+    )
+    nursery.start_soon(found.run)
+    calls = []
+    for n in range(200):
+        store.put_value(f'k{n}', b'x')
+        await trio.sleep(0.1)
+        if trio.current_time() > 10 and not calls:
+            calls.append(len(store.calls))
+    calls.append(len(store.calls))
+    urgent = follower.URGENT_S / follower.COALESCE_S
+    assert (calls[0] > 0.8 * urgent) == is_lacking
+    assert calls[1] - calls[0] <= 10
+
+
 async def test_watch_that_died_in_an_outage_ends_before_changes_count(
     world, autojump_clock
 ):
