--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -1,15 +1,10 @@
-"""Sends of one call that go through delegates."""
+"""Sends of one call that one delegate makes."""
 
 from savorycross.delegate import message as messages_
 from savorycross.delegate import worker
-from savorycross.forward import attempt as attempts
 from savorycross.forward import call as calls
 from savorycross.wire import messages
 
-# A single send takes fewer bytes without a delegate.
-MIN_SENDS = 2
-# Requests with longer bodies are sent to each target.
-MAX_BODY_BYTES = 65536
 # The first results are to come so long before a second target is asked.
 FLUSH_MARGIN_S = 0.002
 MIN_FLUSH_S = 0.001
@@ -23,73 +18,12 @@
 }
 
 
-class Batches:
-    """Collects the first sends of a call by data centre.
-
-    :param engine: Engine.
-    :param call: Call.
-    :param route: Route.
-    :param end_at: runtime clock time after which replies are of no use.
-    :param group: object with ``pause`` and ``resume``; it takes no decision
-        between them.
-    """
-
-    def __init__(self, engine, call, route, end_at, group):
-        self._engine = engine
-        self._call = call
-        self._route = route
-        self._end_at = end_at
-        self._group = group
-        self._is_open = len(call.body) <= MAX_BODY_BYTES
-        self._waiting = {}
-        self.preferred = None
-        if self._is_open and engine.delegates is not None:
-            self.preferred = engine.delegates.prefer(call.id, engine.now())
-
-    def add(self, fetch, state, now):
-        """Return an Attempt that waits for ``send``, or None.
-
-        :returns: None if the fetch is to send itself.
-        """
-        target = state.target
-        delegates = self._engine.delegates
-        if not self._is_open or delegates is None:
-            return None
-        if target.data_centre == self._engine.data_centre:
-            return None
-        if delegates.find(target.data_centre, now) is None:
-            return None
-        found = attempts.Attempt(fetch, state, b'', now)
-        self._waiting.setdefault(target.data_centre, []).append(found)
-        return found
-
-    def send(self):
-        """Send what has been collected; nothing more is."""
-        self._is_open = False
-        waiting, self._waiting = self._waiting, {}
-        now = self._engine.now()
-        for data_centre, found in waiting.items():
-            delegate = self._engine.delegates.find(data_centre, now)
-            if delegate is None or len(found) < MIN_SENDS:
-                for attempt in found:
-                    _send_directly(attempt, now)
-                continue
-            batch = Batch(self._engine, delegate, found, self._group)
-            batch.send(self._call, self._route, self._end_at - now)
-
-
-def _send_directly(attempt, now):
-    attempt.data = attempt.fetch.encode(attempt.state, now)
-    if not attempt.send():
-        attempt.on_verdict(calls.Verdict.NOT_RUN, None)
-
-
 class Batch:
     """An exchange with a delegate; see ``wire.outbound.Exchange``.
 
     :param delegate: Delegate.
     :param members: Attempts, all to targets in its data centre.
-    :param group: see Batches.
+    :param group: see ``batches.Batches``.
     """
 
     is_head = False
@@ -162,7 +96,7 @@
         rows = [
             (self._members[r.number], r)
             for r in found.results
-            if r.number < len(self._members)
+            if 0 <= r.number < len(self._members)
             and self._members[r.number] in self._open
         ]
         self._open.difference_update(m for m, _ in rows)
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -17,20 +17,21 @@
     :param dialect: Dialect.
     :param roster: Roster.
     :param picker: Picker.
+    :param delegates: Delegates.
     :param timers: Timers.
     :param log: EventLog.
     :param metrics: Registry.
-
-    ``delegates`` is set to the Delegates once other instances are known.
     """
 
-    def __init__(self, site, dialect, roster, picker, timers, log, metrics):
+    def __init__(
+        self, site, dialect, roster, picker, delegates, timers, log, metrics
+    ):
         self.dialect = dialect
         self.roster = roster
+        self.delegates = delegates
         self.timers = timers
         self.log = log
         self.metrics = metrics
-        self.delegates = None
         self._site = site
         self._picker = picker
         self._budgets = {}
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -63,12 +63,24 @@
         self.metrics = registry.Registry()
         self._rng = random.Random()
         self._timers = timers_module.Timers()
+        self._make_peers()
         self._make_forwarding()
         self._make_discovery()
         self._make_fleet()
         self._make_servers()
         self._is_stopping = False
 
+    def _make_peers(self):
+        site = self._site
+        self._own = heartbeat.Peer(
+            site.name,
+            int(time.time() * 1000),
+            site.data_centre,
+            site.peer_address,
+            site.caller_address,
+        )
+        self._peers = peers_module.Peers(self._own, self.log)
+
     def _make_forwarding(self):
         site = self._site
         self._roster = rosters.Roster(self._make_pool, self.log)
@@ -77,6 +89,7 @@
             self._adapter.make_dialect(),
             self._roster,
             picker.Picker(site.data_centre, self._rng),
+            delegates.Delegates(self._own, self._peers, self._make_pool),
             self._timers,
             self.log,
             self.metrics,
@@ -117,17 +130,6 @@
 
     def _make_fleet(self):
         site = self._site
-        self._own = heartbeat.Peer(
-            site.name,
-            int(time.time() * 1000),
-            site.data_centre,
-            site.peer_address,
-            site.caller_address,
-        )
-        self._peers = peers_module.Peers(self._own, self.log)
-        self._engine.delegates = delegates.Delegates(
-            self._own, self._peers, self._make_pool
-        )
         self._directory = entry.Directory(self._own, self._peers)
         self._beacon = beacons.Beacon(
             self._peers, site.seeds, self._describe, self._rng, self.metrics
@@ -162,7 +164,7 @@
             for address, handle in handlers.items()
         }
         self._callers = self._servers[site.caller_address]
-        self._others = self._servers[site.peer_address]
+        self._peer_server = self._servers[site.peer_address]
 
     def _make_peer_handler(self):
         copy = exchange.make_handler(self._mirror)
@@ -200,7 +202,7 @@
     @property
     def _busy(self):
         """Number of connections of callers and peers that wait."""
-        return self._callers.busy + self._others.busy
+        return self._callers.busy + self._peer_server.busy
 
     def _describe(self):
         return {
--- a/tests/delegate/test_batch.py
+++ b/tests/delegate/test_batch.py
@@ -1,33 +1,15 @@
 """Sends that go through a delegate, as the sender sees them."""
 
-from savorycross.delegate import delegates
 from savorycross.delegate import message
-from savorycross.fleet import heartbeat
 from savorycross.forward import gather
 from savorycross.wire import messages
+from tests.delegate import fakes
 from tests.forward import world
 
 FAR = ('f1', 'f2', 'f3')
 OK = message.Outcome.OK
 
 
-class FakePeers:
-    """A list of serving instances."""
-
-    def __init__(self, *found):
-        self.found = list(found)
-
-    def serving(self, now):
-        """Return all."""
-        return self.found
-
-
-def make_peer(name, data_centre='donosti'):
-    return heartbeat.Peer(
-        name, 1, data_centre, (f'10.1.0.{len(name)}', 1), ('10.1.0.1', 2)
-    )
-
-
 class Run:
     """A gather over one service nearby and three far away.
 
@@ -35,11 +17,11 @@
     """
 
     def __init__(self, far=FAR, peers=('b', 'cc'), **fields):
-        self.engine = world.FakeEngine()
         self.batches = []
-        self.peers = FakePeers(*(make_peer(name) for name in peers))
-        self.engine.delegates = delegates.Delegates(
-            make_peer('a', 'bilbo'), self.peers, self._make_pool
+        self.engine = world.FakeEngine(
+            others=world.make_delegates(
+                *map(fakes.make_peer, peers), make_pool=self._make_pool
+            )
         )
         self.engine.add_target('near', 'n1')
         self.engine.add_target('near-2', 'n1')
--- a/tests/delegate/test_delegates.py
+++ b/tests/delegate/test_delegates.py
@@ -1,7 +1,7 @@
 """The choice of delegates."""
 
 from savorycross.delegate import delegates
-from tests.delegate import test_batch as fakes
+from tests.delegate import fakes
 from tests.forward import world
 
 
--- a/tests/forward/test_engine.py
+++ b/tests/forward/test_engine.py
@@ -1,22 +1,11 @@
 """What all calls of an instance share."""
 
-from savorycross.delegate import delegates
 from savorycross.forward import engine
-from tests.delegate import test_batch as fakes
 from tests.forward import world
 
 
-def make():
-    """Return an engine without other instances."""
-    found = world.FakeEngine()
-    found.delegates = delegates.Delegates(
-        fakes.make_peer('a'), fakes.FakePeers(), None
-    )
-    return found
-
-
 def test_budget_of_a_service_is_forgotten_after_a_quiet_window():
-    found = make()
+    found = world.FakeEngine()
     budget = found.budget('s1')
     budget.earn(found.now())
     assert budget.take_retry(found.now())
@@ -31,7 +20,6 @@
 
 def test_budget_of_a_successor_is_kept_until_it_is_whole():
     found = world.FakeEngine(is_first_start=False)
-    found.delegates = make().delegates
     budget = found.budget('s1')
     found.advance(found.site.extra.window_s / 2)
     found.prune(found.now())
@@ -48,7 +36,7 @@
 
 
 def test_failures_are_counted_by_service_and_cause_up_to_a_bound():
-    found = make()
+    found = world.FakeEngine()
     for n in range(engine.MAX_COUNTED_SERVICES + 5):
         found.count_failure(f's{n}', 'connect: refused by 10.0.0.1')
     found.count_failure('s1', 'reset')
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -2,6 +2,7 @@
 
 import random
 
+from savorycross.delegate import delegates
 from savorycross.discovery import target
 from savorycross.forward import call as calls
 from savorycross.forward import engine
@@ -13,6 +14,7 @@
 from savorycross.route import route
 from savorycross.wire import messages
 from savorycross.wire import timers
+from tests.delegate import fakes
 from tests import null_log
 
 ID = b'request-1'
@@ -62,9 +64,12 @@
 
 
 class FakeEngine(engine.Engine):
-    """An engine whose time the test sets."""
+    """An engine whose time the test sets.
 
-    def __init__(self, slack=1000.0, is_first_start=True):
+    :param others: Delegates; by default no other instance is known.
+    """
+
+    def __init__(self, slack=1000.0, is_first_start=True, others=None):
         self.time = 100.0
         self.pools = {}
         self.sends = []
@@ -75,6 +80,7 @@
             dialect.PlatformDialect(),
             roster.Roster(self._make_pool, found_log),
             picker.Picker('bilbo', random.Random(1)),
+            others or make_delegates(),
             timers.Timers(),
             found_log,
             registry.Registry(),
@@ -117,6 +123,13 @@
         return self.pools.setdefault(address, FakePool(address, self.sends))
 
 
+def make_delegates(*others, make_pool=None):
+    """Return the Delegates of an instance that knows some others."""
+    return delegates.Delegates(
+        fakes.make_peer('a', 'bilbo'), fakes.FakePeers(*others), make_pool
+    )
+
+
 def make_site(slack=1000.0, is_first_start=True):
     """Return a Site for tests."""
     return site.Site(
