--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -43,9 +43,7 @@
             if known is None or known.value != item.value:
                 self._tell(key, item)
             return
-        self._removed[key] = item.revision
-        if len(self._removed) > MAX_REMOVED:
-            del self._removed[next(iter(self._removed))]
+        self._note_removed(key, item.revision)
         if known is not None:
             self._remove(key, now)
 
@@ -66,17 +64,25 @@
         for key, revision in held.items():
             known = self.items.get(key)
             if known is not None and known.revision == revision:
-                del self.items[key]
-                self._tell(key, None)
+                self._drop(key)
 
     def _remove(self, key, now):
         if now < self._hold_until:
             self._held[key] = self.items[key].revision
             return
-        del self.items[key]
         self._held.pop(key, None)
+        self._drop(key)
+
+    def _drop(self, key):
+        """Forget an item; changes up to its revision come late."""
+        self._note_removed(key, self.items.pop(key).revision)
         self._tell(key, None)
 
+    def _note_removed(self, key, revision):
+        self._removed[key] = max(revision, self._removed.get(key, 0))
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def _tell(self, key, item):
         try:
             self._on_change(key, item)
