Restart a watch only while it waits, not in the pause between two

Change: an instance is behind only while its watch waits and others have heard more. The new test failed for the pause before.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -55,7 +55,8 @@
 class Follower:
     """Lists the store's items once, then watches for changes.
 
-    ``is_connected`` tells whether the store answered the latest call.
+    ``is_connected`` tells whether the store answered the latest call,
+    ``is_watching`` whether a watch waits for changes now.
 
     :param store: ItemStore.
     :param mirror: Mirror.
@@ -88,6 +89,7 @@
         self._scope = trio.CancelScope()
         self._failed_at = None
         self.is_connected = False
+        self.is_watching = False
 
     def restart(self):
         """Ask again at once, as the waiting call may be dead."""
@@ -141,8 +143,12 @@
 
     async def _watch(self):
         wait_s = self._timing.wait_s
-        with trio.move_on_after(wait_s + WATCH_GRACE_S) as scope:
-            page = await self._store.watch(self._mirror.revision, wait_s)
+        self.is_watching = True
+        try:
+            with trio.move_on_after(wait_s + WATCH_GRACE_S) as scope:
+                page = await self._store.watch(self._mirror.revision, wait_s)
+        finally:
+            self.is_watching = False
         if scope.cancelled_caught:
             raise errors.StoreUnavailableError('watch stayed silent')
         self._note_answer()
--- a/savorycross/fleet/exchange.py
+++ b/savorycross/fleet/exchange.py
@@ -68,7 +68,10 @@
             if not self._follower.is_connected:
                 await self._copy(ahead)
                 continue
-            if behind_since is None:
+            if not self._follower.is_watching:
+                # It pauses, so that changes gather; others may have read.
+                behind_since = None
+            elif behind_since is None:
                 behind_since = now
             elif now - behind_since > 2 * CHECK_INTERVAL_S:
                 # A watch that stays silent although others hear changes.
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import pytest
 import trio
 
 from savorycross.discovery import item
@@ -26,6 +27,28 @@
     is_connected = False
 
 
+class Connected:
+    """A follower of the store that counts restarts."""
+
+    is_connected = True
+
+    def __init__(self, is_watching):
+        self.is_watching = is_watching
+        self.restarts = 0
+
+    def restart(self):
+        """Count."""
+        self.restarts += 1
+
+
+class PeersAhead:
+    """Peers of which one has always seen more of the store."""
+
+    def fresher(self, revision, now):
+        """Return it."""
+        return Ahead(None, True)
+
+
 async def _copy(nursery, has_store):
     theirs = mirror.Mirror(lambda key, found: None)
     theirs.apply(item.Item('a', 3, b'x'), 0.0)
@@ -55,3 +78,21 @@
     mine = await _copy(nursery, has_store=False)
     assert sorted(mine.items) == ['a', 'gone']
     assert not mine.is_complete
+
+
+@pytest.mark.parametrize('is_watching', [True, False])
+async def test_silent_watch_is_restarted_but_no_pause(
+    nursery, autojump_clock, is_watching
+):
+    follower = Connected(is_watching)
+    tested = exchange.Exchange(
+        mirror.Mirror(lambda key, found: None),
+        follower,
+        PeersAhead(),
+        null_log.NullLog(),
+        lambda: None,
+        nursery,
+    )
+    nursery.start_soon(tested.run)
+    await trio.sleep(3.0)
+    assert bool(follower.restarts) == is_watching
