Call what exists instead of writing it again around delegates

Behaviour stays as it is, but for which delegate an instance draws: - the ranking of delegates is the rendezvous hashing that owners have, their usual overhead the moving average of latencies, and the doubling of the time for which they are avoided is shared with targets; - a delegate's outcomes are named like verdicts, so two tables go; it is looked up once for a batch, not once more when the batch goes out; - heartbeats and batches check the number of their format in one place; - links look up the one that is up in one place; an entry's id is read in one place; - tests share the targets of other data centres.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -10,12 +10,6 @@
 MIN_FLUSH_S = 0.001
 # A delegate without results this long after that time is left out.
 LATE_S = 0.03
-_VERDICTS = {
-    messages_.Outcome.FAILED: calls.Verdict.FAILED,
-    messages_.Outcome.NOT_RUN: calls.Verdict.NOT_RUN,
-    messages_.Outcome.MISDIRECTED: calls.Verdict.MISDIRECTED,
-    messages_.Outcome.INVALID: calls.Verdict.INVALID,
-}
 
 
 class Batch:
@@ -105,7 +99,7 @@
             if result.outcome is messages_.Outcome.LOST:
                 member.on_lost(True, 'lost by its delegate')
             elif result.outcome is not messages_.Outcome.OK:
-                member.on_verdict(_VERDICTS[result.outcome], None)
+                member.on_verdict(calls.Verdict[result.outcome.name], None)
 
     def on_reply(self, reply):
         """Take the end of the results."""
--- a/savorycross/delegate/batches.py
+++ b/savorycross/delegate/batches.py
@@ -11,7 +11,7 @@
 
 
 class Batches:
-    """Collects the first sends of a call by data centre.
+    """Collects the first sends of a call by delegate.
 
     :param engine: Engine.
     :param call: Call.
@@ -43,10 +43,11 @@
             return None
         if target.data_centre == self._engine.data_centre:
             return None
-        if self._engine.delegates.find(target.data_centre, now) is None:
+        delegate = self._engine.delegates.find(target.data_centre, now)
+        if delegate is None:
             return None
         found = attempts.Attempt(fetch, state, b'', now)
-        self._waiting.setdefault(target.data_centre, []).append(found)
+        self._waiting.setdefault(delegate, []).append(found)
         return found
 
     def send(self):
@@ -54,9 +55,8 @@
         self._is_open = False
         waiting, self._waiting = self._waiting, {}
         now = self._engine.now()
-        for data_centre, found in waiting.items():
-            delegate = self._engine.delegates.find(data_centre, now)
-            if delegate is None or len(found) < MIN_SENDS:
+        for delegate, found in waiting.items():
+            if len(found) < MIN_SENDS:
                 for attempt in found:
                     _send_directly(attempt, now)
                 continue
--- a/savorycross/delegate/delegates.py
+++ b/savorycross/delegate/delegates.py
@@ -2,15 +2,16 @@
 
 import xxhash
 
+from savorycross.forward import backoff
+from savorycross.ownership import rendezvous
+from savorycross.relay import latency
+
 # How often the choice is made anew.
 REFRESH_S = 0.5
 # A delegate that failed is left out for the first time, then for twice as
 # long each time, up to the last.
 AVOID_FIRST_S = 1.0
 AVOID_MOST_S = 8.0
-MAX_DOUBLINGS = 4
-# Weight of one batch in the time that the way to a delegate takes.
-EWMA_WEIGHT = 0.2
 # The way there and back until the first batch has shown it.
 FIRST_OVERHEAD_S = 0.004
 # Batches that wait for one delegate's results at once.
@@ -27,10 +28,16 @@
     def __init__(self, peer, pool):
         self.peer = peer
         self.pool = pool
-        self.overhead_s = FIRST_OVERHEAD_S
+        self._overhead = latency.Ewma()
+        self._overhead.add(FIRST_OVERHEAD_S)
         self._failures = 0
         self._avoided_until = 0.0
 
+    @property
+    def overhead_s(self):
+        """Usual time of a batch beyond that of the delegate in seconds."""
+        return self._overhead.value
+
     def is_usable(self, now):
         """Whether it may get a batch."""
         return now >= self._avoided_until and self.pool.has_room
@@ -42,13 +49,12 @@
         """
         self._failures = 0
         self._avoided_until = 0.0
-        self.overhead_s += EWMA_WEIGHT * (overhead_s - self.overhead_s)
+        self._overhead.add(overhead_s)
 
     def note_failure(self, now):
         """Note that results are missing; return for how long it is avoided."""
-        wait = AVOID_FIRST_S * 2 ** min(self._failures, MAX_DOUBLINGS)
+        wait = backoff.doubled(AVOID_FIRST_S, AVOID_MOST_S, self._failures)
         self._failures += 1
-        wait = min(wait, AVOID_MOST_S)
         self._avoided_until = now + wait
         return wait
 
@@ -57,7 +63,7 @@
     """The delegates of this instance, by data centre.
 
     Instances spread over the delegates of a data centre by rendezvous
-    hashing (Thaler and Ravishankar, 1998).
+    hashing.
 
     :param own: this instance's Peer.
     :param peers: Peers.
@@ -115,9 +121,6 @@
                 pool.limit = MAX_CONNECTIONS
                 self._by_id[id_] = Delegate(peer, pool)
         self._ranked = {}
-        for found in sorted(self._by_id.values(), key=self._rank):
-            self._ranked.setdefault(found.peer.data_centre, []).append(found)
-
-    def _rank(self, delegate):
-        pair = f'{self._own.name}/{delegate.peer.name}'
-        return xxhash.xxh32_intdigest(pair)
+        for peer in rendezvous.rank(self._own.name, serving.values()):
+            found = self._by_id[peer.id]
+            self._ranked.setdefault(peer.data_centre, []).append(found)
--- a/savorycross/delegate/message.py
+++ b/savorycross/delegate/message.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from savorycross.wire import packed
+
 # Version of the format; other versions are refused.
 FORMAT = 1
 
@@ -34,7 +36,7 @@
 
 
 class Outcome(enum.IntEnum):
-    """What became of a send."""
+    """What became of a send: a ``forward.call.Verdict`` by name, or LOST."""
 
     OK = 0
     FAILED = 1
@@ -85,10 +87,7 @@
 
     :raises ValueError: if the bytes are none.
     """
-    found = _batch_decoder.decode(data)
-    if found.format != FORMAT:
-        raise ValueError(f'format {found.format}')
-    return found
+    return packed.decode(_batch_decoder, data, FORMAT)
 
 
 def decode_results(data):
--- a/savorycross/delegate/worker.py
+++ b/savorycross/delegate/worker.py
@@ -1,5 +1,7 @@
 """Makes the sends of other instances to targets nearby."""
 
+import msgspec
+
 from savorycross.delegate import message as messages_
 from savorycross.forward import attempt as attempts
 from savorycross.forward import call as calls
@@ -7,13 +9,6 @@
 from savorycross.wire import messages
 
 PATH = b'/batch'
-_OUTCOMES = {
-    calls.Verdict.OK: messages_.Outcome.OK,
-    calls.Verdict.FAILED: messages_.Outcome.FAILED,
-    calls.Verdict.NOT_RUN: messages_.Outcome.NOT_RUN,
-    calls.Verdict.MISDIRECTED: messages_.Outcome.MISDIRECTED,
-    calls.Verdict.INVALID: messages_.Outcome.INVALID,
-}
 
 
 class Worker:
@@ -110,7 +105,7 @@
             attempt.state.fail(now)
         elif verdict is calls.Verdict.MISDIRECTED:
             attempt.state.note_misplaced(now)
-        self._take(attempt, now, outcome=_OUTCOMES[verdict])
+        self._take(attempt, now, outcome=messages_.Outcome[verdict.name])
 
     def on_lost(self, attempt, was_sent, reason):
         """Take the end of a target's connection without a reply."""
@@ -199,6 +194,6 @@
     """Return Results without records that their merge drops."""
     kept = records.prune_records([r.records for r in results], limit)
     return tuple(
-        messages_.Result(r.number, r.outcome, r.took_ms, r.stamp, body)
-        for r, body in zip(results, kept, strict=True)
+        msgspec.structs.replace(result, records=body)
+        for result, body in zip(results, kept, strict=True)
     )
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -3,6 +3,8 @@
 import msgspec
 import xxhash
 
+from savorycross.wire import packed
+
 # Version of the format; others are dropped.
 FORMAT = 2
 
@@ -80,10 +82,7 @@
 
     :raises ValueError: if the bytes are none.
     """
-    found = _decoder.decode(data)
-    if found.format != FORMAT:
-        raise ValueError(f'format {found.format}')
-    return found
+    return packed.decode(_decoder, data, FORMAT)
 
 
 def encode_peer(peer):
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -1,5 +1,7 @@
 """What this instance believes of a target."""
 
+from savorycross.forward import backoff
+
 EWMA_WEIGHT = 0.15
 # What was measured before weighs half after this time, however few samples
 # there are.
@@ -12,7 +14,6 @@
 MAX_FAILURES = 2
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 4.0
-MAX_DOUBLINGS = 10
 # Time for which a target is left alone whose address answers for another;
 # its entry is gone or written anew by then.
 MISPLACED_S = 10.0
@@ -93,9 +94,9 @@
         self.failures += 1
         if self.failures < MAX_FAILURES:
             return False
-        doublings = min(self.failures - MAX_FAILURES, MAX_DOUBLINGS)
-        wait = EJECT_FIRST_S * 2**doublings
-        self.ejected_until = now + min(wait, EJECT_MOST_S)
+        self.ejected_until = now + backoff.doubled(
+            EJECT_FIRST_S, EJECT_MOST_S, self.failures - MAX_FAILURES
+        )
         return True
 
     def note_misplaced(self, now):
--- a/savorycross/peer/link.py
+++ b/savorycross/peer/link.py
@@ -72,20 +72,23 @@
         link.retire()
         self._retired[name] = link
 
+    def _find_up(self, name):
+        """Return the link to a peer if it is up, or None."""
+        link = self._links.get(name) or self._retired.get(name)
+        return link if link is not None and link.is_up else None
+
     def is_linked(self, name, incarnation):
         """Tell whether a link to a process of an instance is up."""
-        link = self._links.get(name) or self._retired.get(name)
-        if link is None or not link.is_up:
-            return False
-        return link.member.incarnation == incarnation
+        link = self._find_up(name)
+        return link is not None and link.member.incarnation == incarnation
 
     def send(self, name, message):
         """Queue a message to a peer; return False if no link is up."""
         if name == self._own.name:
             self._on_message(name, message)
             return True
-        link = self._links.get(name) or self._retired.get(name)
-        if link is None or not link.is_up:
+        link = self._find_up(name)
+        if link is None:
             return False
         data = codec.encode(message, self._clock.tick())
         self._metrics.count('peer_bytes_sent', len(data))
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -64,7 +64,7 @@
     if found.slots < 1:
         raise ValueError(f'slots {found.slots}')
     return target.Target(
-        id=key.removeprefix(_TARGET),
+        id=target_id(key),
         service=found.service,
         address=address,
         data_centre=found.zone,
--- a/tests/delegate/test_batch.py
+++ b/tests/delegate/test_batch.py
@@ -25,9 +25,7 @@
         )
         self.engine.add_target('near', 'n1')
         self.engine.add_target('near-2', 'n1')
-        for name in far:
-            self.engine.add_target(f'{name}-d', name, 'donosti')
-            self.engine.add_target(f'{name}-i', name, 'iruna')
+        self.engine.add_far_targets(far)
         self.ends = []
         self.gather = gather.Gather(
             self.engine,
--- a/tests/discovery/test_mirror_machine.py
+++ b/tests/discovery/test_mirror_machine.py
@@ -1,5 +1,7 @@
 """A mirror under any order of listings, watches, copies and outages."""
 
+from unittest import mock
+
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -85,12 +87,8 @@
         )
         ahead = peers.PeerState(test_peers._peer('b0'), 0.0)
         ahead.has_store = has_store
-        with_clock = exchange.trio.current_time
-        exchange.trio.current_time = lambda: self.now
-        try:
+        with mock.patch('trio.current_time', lambda: self.now):
             self.exchange._take(found, ahead)
-        finally:
-            exchange.trio.current_time = with_clock
 
     @stateful.rule()
     def watch(self):
--- a/tests/forward/world.py
+++ b/tests/forward/world.py
@@ -112,6 +112,12 @@
         )
         self.roster.put(found, self.time)
 
+    def add_far_targets(self, services):
+        """Declare a target of each service in two other data centres."""
+        for name in services:
+            self.add_target(f'{name}-d', name, 'donosti')
+            self.add_target(f'{name}-i', name, 'iruna')
+
     def sent_to(self, id_):
         """Return the exchanges that a target was sent."""
         for state in self.roster.states():
--- a/tests/model/delegation.py
+++ b/tests/model/delegation.py
@@ -57,9 +57,7 @@
             )
         )
         self.engine.add_target('near', 'n')
-        for name in FAR:
-            self.engine.add_target(f'{name}-d', name, 'donosti')
-            self.engine.add_target(f'{name}-i', name, 'iruna')
+        self.engine.add_far_targets(FAR)
         self.gather = gather.Gather(
             self.engine,
             world.make_call(),
