Log and count what targets say about the rate of requests that they take

Added: the events target.limited and target.freed, the gauge targets_limited and limited_sends by kind, on direct sends and on those through a delegate. No decision changes.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -108,6 +108,8 @@
             and self._attempts[r.number] in self._pending
         ]
         self._pending.difference_update(a for a, _ in rows)
+        for attempt, result in rows:
+            self._record_statement(attempt, result)
         self._deliver_parts(rows, now, overhead_s)
         for attempt, result in rows:
             if result.outcome is protocol.Outcome.LOST:
@@ -125,6 +127,17 @@
         """Handle the loss of the connection to the delegate."""
         self._fail_pending(reason)
 
+    def _record_statement(self, attempt, result):
+        """Record what the delegate knows of the target's rate limit."""
+        if result.outcome is protocol.Outcome.LOST:
+            return
+        self._engine.record_statement(
+            attempt.state,
+            calls.Verdict[result.outcome.name],
+            result.rate_per_s,
+            attempt.started_at,
+        )
+
     def _deliver_parts(self, rows, now, overhead_s):
         """Deliver all parts of one message, or none of them.
 
--- a/savorycross/delegate/batch_handler.py
+++ b/savorycross/delegate/batch_handler.py
@@ -102,6 +102,9 @@
         now = self._engine.now()
         dialect = self._engine.dialect
         verdict = dialect.classify(reply)
+        self._engine.read_statement(
+            attempt.state, verdict, reply, attempt.started_at
+        )
         if verdict is calls.Verdict.OK:
             latency_s = now - attempt.started_at
             typical_s = self._batch.usual_ms / 1000
@@ -148,6 +151,7 @@
         if attempt.connection is None:
             self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
             return
+        engine.count_send(state, attempts.SendKind.DELEGATED)
         state.add_outstanding(attempt, now, self._batch.usual_ms / 1000)
         self._pending[attempt] = number
 
@@ -164,9 +168,16 @@
         self._flush_if_due()
 
     def _add_result(self, number, outcome, took_s, stamp=b'', body=b''):
+        id_ = self._batch.targets[number]
+        state = self._engine.target_registry.find_usable(id_)
         self._unflushed.append(
             protocol.Result(
-                number, outcome, round(took_s * 1000, 1), stamp, body
+                number,
+                outcome,
+                round(took_s * 1000, 1),
+                stamp,
+                body,
+                state.statement.rate_per_s if state is not None else None,
             )
         )
 
--- a/savorycross/delegate/protocol.py
+++ b/savorycross/delegate/protocol.py
@@ -64,6 +64,8 @@
     :param stamp: signature of the target, if it answered.
     :param records: its records, without those that a merge of all results
         in the same message drops.
+    :param rate_per_s: requests a second that the target takes, as it last
+        said, or None if it states no limit.
     """
 
     number: int
@@ -71,6 +73,7 @@
     took_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
     stamp: bytes = b''
     records: bytes = b''
+    rate_per_s: typing.Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True):
--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -1,5 +1,16 @@
 """One send of a call to one target."""
 
+import enum
+
+
+class SendKind(enum.Enum):
+    """Why a call is sent; DELEGATED sends are made for another instance."""
+
+    FIRST = 'first'
+    RETRY = 'retry'
+    HEDGE = 'hedge'
+    DELEGATED = 'delegated'
+
 
 class Attempt:
     """A send as an exchange; reports its result to the fetch.
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -73,6 +73,12 @@
     def stamp(self, reply) -> bytes:
         """Return the stamp in a reply, by which the target signs it."""
 
+    def read_rate_limit(self, reply) -> float | None:
+        """Return the rate that a target states in a reply, or None.
+
+        :returns: requests a second that it takes from all instances.
+        """
+
     def make_part(self, stamp, body):
         """Return a successful Reply with the stamp of a target and a body."""
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from savorycross.forward import attempt
 from savorycross.forward import budget as budgets
+from savorycross.forward import call as calls
 from savorycross.forward import route_latency as route_latencies
 from savorycross.forward import target_state
 from savorycross.overload import reachability
@@ -215,12 +217,47 @@
         limit = self._cold_limit(service)
         return self._picker.pick(states, tried, now, limit, preferred)
 
-    def count_send(self, is_extra):
+    def count_send(self, state, kind):
         """Count a send in the metrics.
 
-        :param is_extra: whether it is a retry or a hedge.
+        :param state: TargetState of the target.
+        :param kind: SendKind.
         """
-        self.metrics.count('sends', kind='extra' if is_extra else 'first')
+        if kind is not attempt.SendKind.DELEGATED:
+            is_first = kind is attempt.SendKind.FIRST
+            self.metrics.count('sends', kind='first' if is_first else 'extra')
+        if state.statement.rate_per_s is not None:
+            self.metrics.count('limited_sends', kind=kind.value)
+
+    def read_statement(self, state, verdict, reply, sent_at):
+        """Take in what a target's reply says about its rate of requests.
+
+        :param state: TargetState of the target.
+        :param verdict: Verdict on the reply.
+        :param sent_at: runtime clock time at which the request was sent.
+        """
+        rate_per_s = self.dialect.read_rate_limit(reply)
+        self.record_statement(state, verdict, rate_per_s, sent_at)
+
+    def record_statement(self, state, verdict, rate_per_s, sent_at):
+        """Record what a target says about its rate of requests.
+
+        A refusal can state a limit; one without says nothing.
+
+        :param rate_per_s: requests a second that the target takes from all
+            instances together, or None if it states no limit.
+        """
+        is_answer = verdict in (calls.Verdict.OK, calls.Verdict.FAILED)
+        is_limit = rate_per_s is not None and verdict is calls.Verdict.NOT_RUN
+        if not is_answer and not is_limit:
+            return
+        if state.add_statement(rate_per_s, sent_at, self.now()):
+            self.log.event(
+                'target.limited' if rate_per_s is not None else 'target.freed',
+                target=state.target.id,
+                service=state.target.service,
+                rate_per_s=rate_per_s,
+            )
 
     def count_failure(self, service, reason):
         """Count a send without an answer in the metrics.
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -175,7 +175,12 @@
 
     def on_reply(self, attempt, reply):
         """Handle a target's reply."""
-        self.on_verdict(attempt, self._engine.dialect.classify(reply), reply)
+        engine = self._engine
+        verdict = engine.dialect.classify(reply)
+        engine.read_statement(
+            attempt.state, verdict, reply, attempt.started_at
+        )
+        self.on_verdict(attempt, verdict, reply)
 
     def on_verdict(self, attempt, verdict, reply):
         """Handle a target's reply by its verdict.
@@ -400,7 +405,7 @@
         self.tried.add(state.target.id)
         self.sends += 1
         self.runs += 1
-        engine.count_send(is_extra)
+        engine.count_send(state, _send_kind(is_extra, is_hedge))
         may_hedge = self.route.is_idempotent and self._may_send_more()
         if may_hedge or not attempt.was_sent:
             delay_s = self._route_latency.hedge_delay(now)
@@ -447,3 +452,9 @@
         self._set_timer(None)
         self.state = state
         self._on_done(self)
+
+
+def _send_kind(is_extra, is_hedge):
+    if not is_extra:
+        return attempts.SendKind.FIRST
+    return attempts.SendKind.HEDGE if is_hedge else attempts.SendKind.RETRY
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -3,6 +3,7 @@
 import math
 
 from savorycross.forward import backoff
+from savorycross.rate import statement
 
 # Lower bound on the weight of a new latency sample in the moving average.
 MIN_SAMPLE_WEIGHT = 0.15
@@ -38,7 +39,8 @@
 
     ``outstanding`` maps each send in flight to the time of the send and
     the typical latency of its route in seconds, in the order of the sends;
-    ``max_in_flight`` is the largest number of them.
+    ``max_in_flight`` is the largest number of them. ``statement`` is what the
+    target last said about the rate of requests that it takes.
 
     :param target: Target.
     :param pool: Pool of its connections.
@@ -61,6 +63,7 @@
         self._failure_rate = 0.0
         self._outcome_at = now
         self._cold_sends = []
+        self.statement = statement.Statement()
 
     def relative_latency(self, now):
         """Return the relative latency, which decays toward 1 when idle."""
@@ -146,6 +149,17 @@
         """Record that another target answers at the address."""
         self.misdirected_until = now + MISDIRECTED_S
 
+    def add_statement(self, rate_per_s, sent_at, now):
+        """Take in what an answer says about the rate of requests.
+
+        :param rate_per_s: limit in the answer, or None.
+        :param sent_at: runtime clock time at which its request was sent.
+        :returns: whether the limit has changed.
+        """
+        previous = self.statement
+        self.statement = previous.update(rate_per_s, sent_at, now)
+        return self.statement.rate_per_s != previous.rate_per_s
+
     def is_ejected(self, now):
         """Return whether the target is ejected because of its failures."""
         return now < self.ejected_until
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,5 +1,7 @@
 """HTTP headers that the platform's callers and targets use."""
 
+import math
+
 from savorycross.forward import call as calls
 from savorycross.wire import messages
 
@@ -7,6 +9,8 @@
 _DEADLINE = b'deadline-ms'
 _STAMP = b'server-stamp'
 _NOT_RUN = b'not-run'
+# Requests a second that a target takes from all instances together.
+_RATE_LIMIT = b'server-limit'
 # Headers that are not forwarded, as each send sets its own.
 _NOT_FORWARDED = messages.HOP_BY_HOP | {_DEADLINE, b'expect-instance'}
 
@@ -89,6 +93,17 @@
         """Return the target's signature from a reply, or None."""
         return reply.header(_STAMP)
 
+    def read_rate_limit(self, reply):
+        """Return the requests a second that a target takes, or None."""
+        value = reply.header(_RATE_LIMIT)
+        if value is None:
+            return None
+        try:
+            rate_per_s = float(value)
+        except ValueError:
+            return None
+        return rate_per_s if 0.0 <= rate_per_s < math.inf else None
+
     def make_part(self, stamp, body):
         """Return a successful Reply with a target's signature and body."""
         return messages.Reply(200, ((b'Server-Stamp', stamp),), body)
--- /dev/null
+++ b/savorycross/rate/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the sends to a target within the rate that it states."""
--- a/standins/fleet/dialect.py
+++ b/standins/fleet/dialect.py
@@ -9,6 +9,7 @@
 OUTCOME = b'outcome'
 RETRY_AFTER = b'retry-after'
 PARTS = b'parts'
+RATE_LIMIT = b'rate-limit'
 
 
 class ModelDialect:
@@ -55,6 +56,11 @@
         """Return the id in a reply; parts of one call share it."""
         return reply.header(ID)
 
+    def read_rate_limit(self, reply):
+        """Return the rate that a target states, or None."""
+        value = reply.header(RATE_LIMIT)
+        return None if value is None else float(value)
+
     def make_part(self, stamp, body):
         """Return a successful Reply."""
         return messages.Reply(200, ((ID, stamp),), body)
