--- a/standins/fleet/fleet.py
+++ b/standins/fleet/fleet.py
@@ -20,6 +20,13 @@
 REFRESH_INTERVAL_S = 0.5
 # Time until an instance that ended leaves the list.
 DETECTION_S = 1.7
+# The bound on requests to a target that states a limit: in any window as many
+# as the limit allows, times the overage, and the slack; from the time on by
+# which all instances have learned of it.
+LIMIT_LEARNING_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5.0
 
 
 class Fleet:
@@ -48,6 +55,7 @@
         self._listed = ()
         self._requested = {}
         self._cold_periods = []
+        self._limited_periods = []
         self._services = {
             index.name: tuple(f'{index.name}-{n}' for n in range(index.shards))
             for index in pattern.indexes
@@ -249,6 +257,8 @@
             if event.kind == 'cold':
                 self._restart_cold(id_, event)
             else:
+                if event.kind == 'limit':
+                    self._limited_periods.append((id_, event))
                 self._set_fault(self.targets[id_], event, True)
                 self.scheduler.call_later(
                     event.for_s,
@@ -267,6 +277,8 @@
             target.is_down = is_on
         elif event.kind == 'shed':
             target.shed_part = event.factor if is_on else 0.0
+        elif event.kind == 'limit':
+            target.rate_limit_per_s = event.factor if is_on else None
 
     def _choose_targets(self, event):
         """Return the ids of the targets that an event hits."""
@@ -327,6 +339,8 @@
             refusals=sum(t.refusals for t in self.targets.values()),
             most_cold=self._count_most_cold(),
             worst_extra_ratio=self._measure_extra_sends(),
+            worst_limited_ratio=max(self._limited_ratios(), default=0.0),
+            limit_use=self._measure_limit_use(),
         )
 
     def _count_most_cold(self):
@@ -349,6 +363,31 @@
                 most = max(most, inside)
         return most
 
+    def _limited_ratios(self):
+        """Yield ratios of arrivals in a window to the bound on them.
+
+        The bound applies once instances had time to learn of the limit.
+        """
+        for id_, event in self._limited_periods:
+            bound = LIMIT_OVERAGE * LIMIT_WINDOW_S * event.factor + LIMIT_SLACK
+            since = event.at_s + LIMIT_LEARNING_S
+            arrivals = self.targets[id_].arrivals
+            for start in [t for t in arrivals if t >= since]:
+                if start + LIMIT_WINDOW_S <= event.at_s + event.for_s:
+                    end = start + LIMIT_WINDOW_S
+                    yield _count_between(arrivals, start, end) / bound
+
+    def _measure_limit_use(self):
+        """Return the arrivals at limited targets as a part of their limits."""
+        allowed = arrived = 0.0
+        for id_, event in self._limited_periods:
+            since = event.at_s + LIMIT_LEARNING_S
+            until = event.at_s + event.for_s
+            arrivals = self.targets[id_].arrivals
+            arrived += _count_between(arrivals, since, until)
+            allowed += event.factor * (until - since)
+        return arrived / allowed if allowed else 0.0
+
     def _measure_extra_sends(self):
         """Return the largest ratio of extra sends to the bound on them."""
         worst = 0.0
--- a/standins/fleet/outcome.py
+++ b/standins/fleet/outcome.py
@@ -47,6 +47,9 @@
     :param most_cold: most requests that a cold target received in a second.
     :param worst_extra_ratio: largest ratio of extra sends to the bound on
         them, over all services and windows.
+    :param worst_limited_ratio: largest ratio of requests to a target that
+        states a limit to the bound on them.
+    :param limit_use: requests to such targets as a part of their limits.
     """
 
     pattern: str
@@ -58,6 +61,8 @@
     refusals: int
     most_cold: int
     worst_extra_ratio: float
+    worst_limited_ratio: float = 0.0
+    limit_use: float = 0.0
 
     def select(self, kind=None):
         """Return the outcomes of a kind, or all, of callers that stayed."""
--- a/standins/fleet/pattern.py
+++ b/standins/fleet/pattern.py
@@ -77,7 +77,8 @@
 
     ``slow`` multiplies the work of targets by ``factor``; ``dark`` makes
     them silent; ``down`` makes them refuse connections; ``shed`` makes them
-    refuse the part ``factor`` of requests; ``cold`` restarts them cold;
+    refuse the part ``factor`` of requests; ``limit`` makes them state that
+    they take ``factor`` requests a second; ``cold`` restarts them cold;
     ``burst`` multiplies the callers' rate; ``leave`` makes a share of the
     callers leave at the part ``factor`` of their objective; ``repeat`` makes
     a share of the callers try again at once, ``factor`` times; ``loss`` ends
@@ -93,6 +94,7 @@
         'dark',
         'down',
         'shed',
+        'limit',
         'cold',
         'burst',
         'leave',
--- a/standins/fleet/target.py
+++ b/standins/fleet/target.py
@@ -13,8 +13,8 @@
 class ModelTarget:
     """Works on requests, ``slots`` at a time.
 
-    ``slow_factor``, ``shed_part``, ``is_dark`` and ``is_down`` are set by the
-    events of a pattern. ``arrivals`` holds the time at which each request
+    ``slow_factor``, ``shed_part``, ``rate_limit_per_s``, ``is_dark`` and
+    ``is_down`` are set by the events of a pattern. ``arrivals`` holds the time at which each request
     arrived, ``sent_times`` that at which it was sent; ``refusals`` is the
     number of those that were refused.
 
@@ -29,6 +29,7 @@
         self.name = name
         self.slow_factor = 1.0
         self.shed_part = 0.0
+        self.rate_limit_per_s = None
         self.is_dark = False
         self.is_down = False
         self.arrivals = []
@@ -107,12 +108,22 @@
     def _finish(self, job):
         self._running.pop(job, None)
         if job.respond is not None:
-            job.respond(_make_reply(job, calls.Verdict.OK))
+            job.respond(self._make_reply(job, calls.Verdict.OK))
         self._start_next()
 
     def _refuse(self, job):
         self.refusals += 1
-        job.respond(_make_reply(job, calls.Verdict.NOT_RUN))
+        job.respond(self._make_reply(job, calls.Verdict.NOT_RUN))
+
+    def _make_reply(self, job, verdict):
+        headers = (
+            (dialect.ID, job.id),
+            (dialect.OUTCOME, verdict.value.encode()),
+        )
+        if self.rate_limit_per_s is not None:
+            limit = b'%.3f' % self.rate_limit_per_s
+            headers = (*headers, (dialect.RATE_LIMIT, limit))
+        return messages.Reply(200, headers)
 
 
 class _Job:
@@ -125,11 +136,3 @@
         self.path = path
         self.end_at = end_at
         self.respond = respond
-
-
-def _make_reply(job, verdict):
-    headers = (
-        (dialect.ID, job.id),
-        (dialect.OUTCOME, verdict.value.encode()),
-    )
-    return messages.Reply(200, headers)
--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -120,3 +120,11 @@
                 if kind.priority < other.priority and is_fair:
                     behind = shares[other.name] - shares[kind.name]
                     assert behind <= MAX_BEHIND
+
+
+@pytest.mark.parametrize('name', ['limited_targets', 'scarce_rates'])
+@pytest.mark.parametrize('variant_name', ['savorycross', 'all-instances'])
+def test_target_gets_no_more_than_its_stated_rate(name, variant_name):
+    for seed in SEEDS:
+        report = _play(name, variant_name, seed)
+        assert 0.0 < report.worst_limited_ratio <= 1.0
