Keep the sends of all instances to a target within the rate that it states

Cause: the statement was read by nothing (hypothesis 1); and each instance alone would have kept to the whole of it (hypothesis 2).

Change: a token bucket for each target that states a limit, with this instance's part of the rate: about as many instances as the target takes requests a second hold equal parts, by rendezvous hashing, so that the bursts of all stay within the bound with 79 senders and 9 a second. First sends, retries, hedges and sends for another instance each take a token; a delegate takes none for sends that their sender has counted. Former shares bind a new sender, which begins without tokens. A call that needs a part which the limits allow too late is refused at once; parts that it can do without leave the tokens to others.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -60,6 +60,9 @@
             usual_ms=round(route_latency.typical_s * 1000, 1),
             record_limit=route.record_limit,
             targets=tuple(a.state.target.id for a in self._attempts),
+            paid=frozenset(
+                n for n, a in enumerate(self._attempts) if a.is_paid
+            ),
         )
         self.data = messages.encode_request(
             b'POST', batch_handler.PATH, (), protocol.encode(request)
--- a/savorycross/delegate/batch_handler.py
+++ b/savorycross/delegate/batch_handler.py
@@ -144,6 +144,10 @@
         if state is None:
             self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
             return
+        is_paid = number in self._batch.paid
+        if not is_paid and not engine.may_send(state, now):
+            self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
+            return
         remaining_s = self._batch.remaining_ms / 1000
         data = engine.dialect.encode_send(self.call, remaining_s, id_)
         attempt = attempts.Attempt(self, state, data, now)
@@ -151,7 +155,7 @@
         if attempt.connection is None:
             self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
             return
-        engine.count_send(state, attempts.SendKind.DELEGATED)
+        engine.record_send(state, attempts.SendKind.DELEGATED, now, is_paid)
         state.add_outstanding(attempt, now, self._batch.usual_ms / 1000)
         self._pending[attempt] = number
 
@@ -169,7 +173,7 @@
 
     def _add_result(self, number, outcome, took_s, stamp=b'', body=b''):
         id_ = self._batch.targets[number]
-        state = self._engine.target_registry.find_usable(id_)
+        state = self._engine.target_registry.find(id_)
         self._unflushed.append(
             protocol.Result(
                 number,
@@ -177,7 +181,7 @@
                 round(took_s * 1000, 1),
                 stamp,
                 body,
-                state.statement.rate_per_s if state is not None else None,
+                state.rate.statement.rate_per_s if state else None,
             )
         )
 
--- a/savorycross/delegate/protocol.py
+++ b/savorycross/delegate/protocol.py
@@ -26,6 +26,8 @@
     :param usual_ms: usual latency of one target in milliseconds.
     :param record_limit: largest number of records in the call's answer.
     :param targets: ids of the targets to send to.
+    :param paid: indexes of the targets whose sends the sender has counted
+        toward its parts of the rates that they state.
     """
 
     format: int
@@ -39,6 +41,7 @@
     usual_ms: typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_MS)]
     record_limit: typing.Annotated[int, msgspec.Meta(ge=0)]
     targets: tuple[str, ...]
+    paid: frozenset[int] = frozenset()
 
 
 class Outcome(enum.IntEnum):
--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -15,7 +15,8 @@
 class Attempt:
     """A send as an exchange; reports its result to the fetch.
 
-    ``is_pruned`` tells that the reply lacks those records that are not
+    ``is_paid`` tells that the send was counted toward the rate that the target
+    states, and ``is_pruned`` that the reply lacks those records that are not
     among the greatest of all replies in the same message of a delegate.
 
     :param fetch: Fetch that the send belongs to.
@@ -29,6 +30,7 @@
         'data',
         'fetch',
         'is_head',
+        'is_paid',
         'is_pruned',
         'started_at',
         'state',
@@ -41,6 +43,7 @@
         self.data = data
         self.started_at = started_at
         self.is_head = fetch.call.method == b'HEAD'
+        self.is_paid = False
         self.is_pruned = False
         self.connection = None
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -11,12 +11,11 @@
 from savorycross.forward import target_state
 from savorycross.overload import reachability
 from savorycross.overload import return_time
+from savorycross.overload import share_views
 from savorycross.overload import shares as limit_shares
 from savorycross.overload import waiting_line
 
 MAX_ROUTE_LATENCIES = 2000
-# Time within which all instances learn that the senders have changed.
-VIEW_SPREAD_S = 1.0
 # How often waiting sends are tried again without an event that gives room.
 RECHECK_INTERVAL_S = 0.02
 # Waiting sends that are tried in a row without success. The first may lack a
@@ -67,17 +66,17 @@
         self._lines = {}
         self._line_timers = {}
         self._counted_services = set()
-        self._shares = limit_shares.LimitShares(
-            settings.name, frozenset({settings.name})
+        self._views = share_views.ShareViews(
+            limit_shares.LimitShares(
+                settings.name, frozenset({settings.name})
+            ),
+            target_state.COLD_WINDOW_S + share_views.VIEW_SPREAD_S,
         )
         self._slack_from = self.now()
         self._is_successor = not settings.is_first_start
-        # Shares that were in force lately, with the time until which they
-        # bound the sends to cold targets.
-        self._former_shares = []
         if self._is_successor:
             nothing = limit_shares.LimitShares(settings.name, frozenset())
-            self._keep_former_shares(nothing)
+            self._views.retain(nothing, self.now())
 
     @property
     def data_centre(self):
@@ -105,15 +104,15 @@
 
         :param shares: LimitShares.
         """
-        if shares == self._shares:
+        current = self._views.shares
+        if shares == current:
             return
-        if shares.is_sender and not self._shares.is_sender:
+        if shares.is_sender and not current.is_sender:
             self._slack_from = self.now()
             self._is_successor = True
             for budget in self._budgets.values():
                 budget.restart_slack(self._slack_from)
-        self._keep_former_shares(self._shares)
-        self._shares = shares
+        self._views.replace(shares, self.now())
         self.target_registry.set_shares(shares)
         for budget in self._budgets.values():
             budget.set_fraction(shares.fraction)
@@ -127,7 +126,7 @@
                 self._slack_from,
                 self._is_successor,
             )
-            budget.set_fraction(self._shares.fraction)
+            budget.set_fraction(self._views.shares.fraction)
             self._budgets[service] = budget
         return budget
 
@@ -144,16 +143,46 @@
         )
         return self.dialect.make_refusal(503, return_s)
 
-    def outlook(self, service, now):
+    def outlook(self, service, until, now):
         """Return the reachability.Outlook of a service.
 
+        :param until: runtime clock time until which a send is of use.
         :param now: runtime clock time in seconds.
         """
         states = self.target_registry.list_usable(service)
-        if any(not state.is_unreachable(now) for state in states):
-            return reachability.Outlook(True)
-        retry_at = min((s.unreachable_until for s in states), default=math.inf)
-        return reachability.Outlook(False, retry_at)
+        reachable = [s for s in states if not s.is_unreachable(now)]
+        if not reachable:
+            retry_at = min(
+                (s.unreachable_until for s in states), default=math.inf
+            )
+            return reachability.Outlook(False, retry_at)
+        turn_at = self._expect_turn(service, reachable, now)
+        tokens = math.inf
+        if all(s.rate.is_limited for s in reachable):
+            binding = self._views.binding(now)
+            tokens = sum(s.rate.expect(binding, now, now) for s in reachable)
+        return reachability.Outlook(turn_at <= until, turn_at, tokens)
+
+    def expect_turn(self, service, now):
+        """Return when the limits of targets allow one more send.
+
+        The sends that wait already go first.
+
+        :returns: runtime clock time in seconds.
+        """
+        states = self.target_registry.list_usable(service)
+        return self._expect_turn(service, states, now)
+
+    def _expect_turn(self, service, states, now):
+        if any(not s.rate.is_limited for s in states):
+            return now
+        binding = self._views.binding(now)
+        tokens = sum(s.rate.expect(binding, now, now) for s in states)
+        rate_per_s = sum(s.rate.rate_per_s(binding, now) for s in states)
+        missing = len(self.line(service)) + 1 - tokens
+        if missing <= 0:
+            return now
+        return now + missing / rate_per_s if rate_per_s else math.inf
 
     def line(self, service):
         """Return the WaitingLine of a service; it is made if needed."""
@@ -204,7 +233,7 @@
             self._route_latencies[route.name] = latency
         return latency
 
-    def pick(self, service, tried, now, preferred=None):
+    def pick(self, service, tried, now, preferred=None, keeps_reserve=False):
         """Return the TargetState of the target to send to, or None.
 
         :param service: name of the service.
@@ -212,22 +241,59 @@
         :param now: runtime clock time in seconds.
         :param preferred: data centre that is preferred among the remote
             ones, or None.
+        :param keeps_reserve: whether the send has to leave tokens of limited
+            targets for sends that are needed more.
         """
         states = self.target_registry.list_usable(service)
-        limit = self._cold_limit(service)
-        return self._picker.pick(states, tried, now, limit, preferred)
+        if not tried:
+            # A first send leaves the reserve of limited targets for the
+            # retries and hedges of those that do not answer.
+            keeps_reserve = keeps_reserve or any(
+                not s.rate.is_limited and s.has_room and not s.is_ejected(now)
+                for s in states
+            )
+        binding = self._views.binding(now)
+        return self._picker.pick(
+            states,
+            tried,
+            now,
+            lambda s: self._may_send(s, binding, now, keeps_reserve),
+            preferred,
+        )
 
-    def count_send(self, state, kind):
-        """Count a send in the metrics.
+    def is_limited(self, service):
+        """Return whether all targets of a service state limits."""
+        states = self.target_registry.list_usable(service)
+        return all(s.rate.is_limited for s in states)
+
+    def may_send(self, state, now):
+        """Return whether the limits of a target allow one more send.
+
+        :param state: TargetState of the target.
+        :param now: runtime clock time in seconds.
+        """
+        return self._may_send(state, self._views.binding(now), now)
+
+    def record_send(self, state, kind, now, is_paid=False):
+        """Count a send toward the limits of its target and in the metrics.
 
         :param state: TargetState of the target.
         :param kind: SendKind.
+        :param now: runtime clock time in seconds.
+        :param is_paid: whether another instance has counted it toward the
+            rate that the target states.
+        :returns: whether the rate that the target states allowed it.
         """
+        state.record_send(now)
+        is_limited = state.rate.is_limited
+        if not is_paid:
+            is_paid = state.rate.take(self._views.binding(now), now)
         if kind is not attempt.SendKind.DELEGATED:
             is_first = kind is attempt.SendKind.FIRST
             self.metrics.count('sends', kind='first' if is_first else 'extra')
-        if state.statement.rate_per_s is not None:
+        if is_limited:
             self.metrics.count('limited_sends', kind=kind.value)
+        return is_paid
 
     def read_statement(self, state, verdict, reply, sent_at):
         """Take in what a target's reply says about its rate of requests.
@@ -251,7 +317,9 @@
         is_limit = rate_per_s is not None and verdict is calls.Verdict.NOT_RUN
         if not is_answer and not is_limit:
             return
-        if state.add_statement(rate_per_s, sent_at, self.now()):
+        now = self.now()
+        stated = state.rate.statement.update(rate_per_s, sent_at, now)
+        if state.rate.record(stated, self._views.binding(now), now):
             self.log.event(
                 'target.limited' if rate_per_s is not None else 'target.freed',
                 target=state.target.id,
@@ -296,30 +364,26 @@
             service: line for service, line in self._lines.items() if line
         }
 
-    def _cold_limit(self, service):
-        """Return a callable for the limit of sends a second to a cold target.
-
-        An instance that gains a share of it begins to use it only when those
-        that lost it know so, and their sends have left the window.
+    def _may_send(self, state, binding, now, keeps_reserve=False):
+        """Return whether the limits of a target allow one more send.
 
-        :returns: callable that takes the id of a target and returns this
-            instance's share; None if sends are not limited.
+        :param binding: the LimitShares that bind this instance.
+        :param keeps_reserve: see ``pick``.
         """
-        declared = self.target_registry.find_service(service)
+        if not state.rate.may_send(binding, now, keeps_reserve):
+            if not keeps_reserve:
+                state.rate.record_lack(now)
+            return False
+        if not state.is_cold(now):
+            return True
+        limit = self._cold_limit(state, binding)
+        return state.count_cold_sends(now) + 1 <= limit
+
+    def _cold_limit(self, state, binding):
+        """Return this instance's limit of sends a second to a cold target."""
+        declared = self.target_registry.find_service(state.target.service)
         if declared is None or not declared.cold_rate_per_s:
-            return None
+            return math.inf
         limits = self._settings.cold_send_limits
         total = declared.cold_rate_per_s * limits.overage + limits.slack
-        now = self.now()
-        former = [s for until, s in self._former_shares if until > now]
-        views = [self._shares, *former]
-        return lambda target_id: min(v.units(total, target_id) for v in views)
-
-    def _keep_former_shares(self, shares):
-        """Keep shares for as long as they bound the sends to cold targets."""
-        now = self.now()
-        until = now + target_state.COLD_WINDOW_S + VIEW_SPREAD_S
-        self._former_shares = [
-            *(former for former in self._former_shares if former[0] > now),
-            (until, shares),
-        ]
+        return min(view.units(total, state.target.id) for view in binding)
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -37,7 +37,9 @@
     ``reply`` is the answer, or the latest reply that reports a failure,
     ``reason`` says why the latest send failed, and ``may_have_run`` whether
     a target may have run the call without an answer. ``tried`` holds the
-    ids of targets that are not chosen again. Of all sends (``sends``),
+    ids of targets that are not chosen again. ``is_dispensable`` tells that
+    the call can do without the answer, so that others go first where targets
+    state limits. Of all sends (``sends``),
     ``runs`` may have run and ``unsent`` never left this instance.
 
     :param engine: Engine.
@@ -66,6 +68,7 @@
         '_timer',
         'call',
         'end_at',
+        'is_dispensable',
         'may_have_run',
         'wait_for_target_until',
         'reason',
@@ -100,6 +103,7 @@
         self.reply = None
         self.reason = ''
         self.may_have_run = False
+        self.is_dispensable = False
         self.tried = set()
         self.runs = 0
         self.sends = 0
@@ -334,6 +338,11 @@
             self._wait_for_budget(now)
             return
         wait_until = self._wait_until(now)
+        may_wait = not self.is_dispensable
+        turn_at = self._engine.expect_turn(self.service, now)
+        if turn_at > wait_until or (turn_at > now and not may_wait):
+            self.reason = 'rate limits'
+            wait_until = now
         if now >= wait_until:
             self._finish(State.FAILED)
             return
@@ -380,7 +389,12 @@
         batcher = self._batcher if self.sends == 0 else None
         preferred = batcher.preferred if batcher is not None else None
         self._lacks_budget = False
-        state = engine.pick(self.service, self.tried, now, preferred)
+        keeps_reserve = self.is_dispensable or (
+            is_hedge and engine.is_limited(self.service)
+        )
+        state = engine.pick(
+            self.service, self.tried, now, preferred, keeps_reserve
+        )
         if state is None:
             self.reason = self.reason or 'no usable target'
             return False
@@ -401,11 +415,12 @@
             if not attempt.send(max_idle_s):
                 return False
         state.add_outstanding(attempt, now, self._route_latency.typical_s)
+        kind = _send_kind(is_extra, is_hedge)
+        attempt.is_paid = engine.record_send(state, kind, now)
         self._in_flight.add(attempt)
         self.tried.add(state.target.id)
         self.sends += 1
         self.runs += 1
-        engine.count_send(state, _send_kind(is_extra, is_hedge))
         may_hedge = self.route.is_idempotent and self._may_send_more()
         if may_hedge or not attempt.was_sent:
             delay_s = self._route_latency.hedge_delay(now)
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -24,7 +24,7 @@
         self._data_centre = data_centre
         self._rng = rng
 
-    def pick(self, states, tried, now, cold_limit, preferred=None):
+    def pick(self, states, tried, now, may_send, preferred=None):
         """Return the TargetState of the chosen target, or None.
 
         Ejected targets are chosen only if all others were tried; a target
@@ -33,9 +33,8 @@
         :param states: TargetStates of the service that may get work.
         :param tried: ids of targets that are excluded.
         :param now: runtime clock time in seconds.
-        :param cold_limit: callable that takes the id of a cold target and
-            returns the sends to it in any second, or None if they are not
-            limited.
+        :param may_send: callable that takes a TargetState and returns
+            whether the limits of its sends allow one more.
         :param preferred: data centre that is preferred among the remote
             ones, or None.
         """
@@ -45,14 +44,12 @@
             if s.target.id not in tried and s.misdirected_until <= now
         ]
         candidates = [s for s in untried if not s.is_ejected(now)] or untried
-        candidates = [s for s in candidates if s.has_room]
-        for state in sorted(
+        candidates = [s for s in candidates if s.has_room and may_send(s)]
+        return min(
             self._sample(candidates),
             key=lambda s: self.score(s, now, preferred),
-        ):
-            if state.try_acquire_cold_send(now, cold_limit):
-                return state
-        return None
+            default=None,
+        )
 
     def score(self, state, now, preferred=None):
         """Return the expected latency in units of the typical one.
--- a/savorycross/forward/scatter_gather.py
+++ b/savorycross/forward/scatter_gather.py
@@ -70,7 +70,8 @@
         )
         now = self._engine.now()
         outlooks = [
-            self._engine.outlook(f.service, now) for f in self._fetches
+            self._engine.outlook(f.service, f.wait_for_target_until, now)
+            for f in self._fetches
         ]
         return_at = reachability.find_return_at(outlooks, self._min_answers)
         for fetch, outlook in zip(self._fetches, outlooks, strict=True):
@@ -79,6 +80,10 @@
         if return_at is not None:
             self._refuse(return_at)
             return
+        for number in reachability.find_dispensable(
+            outlooks, self._min_answers
+        ):
+            self._fetches[number].is_dispensable = True
         for fetch, outlook in zip(self._fetches, outlooks, strict=True):
             if self._is_over:
                 return
--- a/savorycross/forward/single_call.py
+++ b/savorycross/forward/single_call.py
@@ -82,7 +82,8 @@
             self._refuse()
 
     def _refuse(self):
-        outlook = self._engine.outlook(self._fetch.service, self._engine.now())
+        now = self._engine.now()
+        outlook = self._engine.outlook(self._fetch.service, now, now)
         reply = self._engine.make_refusal(
             self._fetch.call,
             self._fetch.route,
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -30,6 +30,10 @@
         """Return the declared Service of a name, or None."""
         return self._services.get(name)
 
+    def find(self, target_id):
+        """Return the TargetState of a target, or None."""
+        return self._by_id.get(target_id)
+
     def find_usable(self, target_id):
         """Return the TargetState of a target that may get work, or None."""
         state = self._by_id.get(target_id)
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -3,7 +3,7 @@
 import math
 
 from savorycross.forward import backoff
-from savorycross.rate import statement
+from savorycross.rate import limiter
 
 # Lower bound on the weight of a new latency sample in the moving average.
 MIN_SAMPLE_WEIGHT = 0.15
@@ -39,8 +39,8 @@
 
     ``outstanding`` maps each send in flight to the time of the send and
     the typical latency of its route in seconds, in the order of the sends;
-    ``max_in_flight`` is the largest number of them. ``statement`` is what the
-    target last said about the rate of requests that it takes.
+    ``max_in_flight`` is the largest number of them. ``rate`` is the
+    RateLimiter of the sends.
 
     :param target: Target.
     :param pool: Pool of its connections.
@@ -63,7 +63,7 @@
         self._failure_rate = 0.0
         self._outcome_at = now
         self._cold_sends = []
-        self.statement = statement.Statement()
+        self.rate = limiter.RateLimiter(target.id, now)
 
     def relative_latency(self, now):
         """Return the relative latency, which decays toward 1 when idle."""
@@ -149,17 +149,6 @@
         """Record that another target answers at the address."""
         self.misdirected_until = now + MISDIRECTED_S
 
-    def add_statement(self, rate_per_s, sent_at, now):
-        """Take in what an answer says about the rate of requests.
-
-        :param rate_per_s: limit in the answer, or None.
-        :param sent_at: runtime clock time at which its request was sent.
-        :returns: whether the limit has changed.
-        """
-        previous = self.statement
-        self.statement = previous.update(rate_per_s, sent_at, now)
-        return self.statement.rate_per_s != previous.rate_per_s
-
     def is_ejected(self, now):
         """Return whether the target is ejected because of its failures."""
         return now < self.ejected_until
@@ -181,19 +170,13 @@
         """Return whether the target is starting and takes little load."""
         return now < self.cold_until
 
-    def try_acquire_cold_send(self, now, limit):
-        """Count a send to the target unless it is cold and at its limit.
-
-        :param limit: callable that takes the id of the target and returns
-            the sends in any second while it is cold, or None if they are not
-            limited.
-        :returns: whether the send is allowed.
-        """
-        if limit is None or not self.is_cold(now):
-            return True
+    def count_cold_sends(self, now):
+        """Return the number of sends in the past second while it was cold."""
         since = now - COLD_WINDOW_S
         self._cold_sends = [t for t in self._cold_sends if t > since]
-        if len(self._cold_sends) + 1 > limit(self.target.id):
-            return False
-        self._cold_sends.append(now)
-        return True
+        return len(self._cold_sends)
+
+    def record_send(self, now):
+        """Record a send, if the target is cold."""
+        if self.is_cold(now):
+            self._cold_sends.append(now)
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -332,8 +332,7 @@
         gauge('targets', len(states))
         gauge('targets_ejected', sum(s.is_ejected(now) for s in states))
         gauge('targets_cold', sum(s.is_cold(now) for s in states))
-        stated = [s.statement.rate_per_s for s in states]
-        gauge('targets_limited', sum(r is not None for r in stated))
+        gauge('targets_limited', sum(s.rate.is_limited for s in states))
         gauge('target_connections', sum(s.pool.size for s in states))
         gauge('reply_bytes_buffered', self._buffered.count)
         gauge('budgets_spent', self._engine.count_exhausted_budgets(now))
--- a/savorycross/overload/reachability.py
+++ b/savorycross/overload/reachability.py
@@ -7,19 +7,24 @@
 """
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outlook:
     """What is known of a service before a call is sent.
 
-    :param is_reachable: whether any target may answer.
+    :param is_reachable: whether any target may answer in time.
     :param retry_at: runtime clock time at which an unreachable target is
-        tried again, infinity if none is known.
+        tried again, or the limits of targets allow a send; infinity if it is
+        not known.
+    :param tokens: sends that the targets' limits allow now; infinity if any
+        target states none.
     """
 
     is_reachable: bool
-    retry_at: float = float('inf')
+    retry_at: float = math.inf
+    tokens: float = math.inf
 
 
 def find_return_at(outlooks, needed):
@@ -40,4 +45,26 @@
     if missing <= 0:
         return None
     times = sorted(o.retry_at for o in outlooks if not o.is_reachable)
-    return times[missing - 1] if missing <= len(times) else float('inf')
+    return times[missing - 1] if missing <= len(times) else math.inf
+
+
+def find_dispensable(outlooks, needed):
+    """Return the indexes of services that a call can do without.
+
+    Those without limits suffice, or those with limits that allow most. The
+    others leave what their limits allow to calls that need it.
+
+    :param outlooks: Outlooks of all services that the call asks.
+    :param needed: services that must answer.
+
+    >>> free, few, some = Outlook(True), Outlook(True, 0.0, 1.5), Outlook(
+    ...     True, 0.0, 3.0
+    ... )
+    >>> find_dispensable([free, few, some], 2)
+    {1}
+    >>> sorted(find_dispensable([free, few, some], 1))
+    [1, 2]
+    """
+    reachable = [n for n, o in enumerate(outlooks) if o.is_reachable]
+    reachable.sort(key=lambda n: -outlooks[n].tokens)
+    return {n for n in reachable[needed:] if outlooks[n].tokens < math.inf}
--- a/standins/fleet/target.py
+++ b/standins/fleet/target.py
@@ -14,9 +14,9 @@
     """Works on requests, ``slots`` at a time.
 
     ``slow_factor``, ``shed_part``, ``rate_limit_per_s``, ``is_dark`` and
-    ``is_down`` are set by the events of a pattern. ``arrivals`` holds the time at which each request
-    arrived, ``sent_times`` that at which it was sent; ``refusals`` is the
-    number of those that were refused.
+    ``is_down`` are set by the events of a pattern. ``arrivals`` holds the time
+    at which each request arrived, ``sent_times`` that at which it was sent;
+    ``refusals`` is the number of those that were refused.
 
     :param name: name of the target.
     :param index: pattern.Index.
--- a/standins/fleet/variant.py
+++ b/standins/fleet/variant.py
@@ -33,7 +33,7 @@
 class UninformedEngine(engine.Engine):
     """An engine that refuses no call early and asks all back soon."""
 
-    def outlook(self, service, now):
+    def outlook(self, service, until, now):
         """Return that the service is reachable."""
         return reachability.Outlook(True)
 
--- a/tests/forward/test_engine.py
+++ b/tests/forward/test_engine.py
@@ -54,4 +54,4 @@
         senders = frozenset({'entry-1', f'entry-{number + 2}'})
         shared.set_shares(shares.LimitShares('entry-1', senders))
         shared.advance(1.0)
-    assert len(shared._former_shares) <= 3
+    assert len(shared._views.binding(shared.now())) <= 4
--- a/tests/forward/test_picker.py
+++ b/tests/forward/test_picker.py
@@ -91,5 +91,8 @@
     target_picker = picker.Picker('bilbo', random.Random(3))
     engine = _engine(a='bilbo', b='bilbo')
     states = engine.target_registry.states()
-    picks = {target_picker.pick(states, (), 100.0, None) for _ in range(30)}
+    picks = {
+        target_picker.pick(states, (), 100.0, lambda _: True)
+        for _ in range(30)
+    }
     assert len(picks) == 2
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -38,11 +38,12 @@
 def test_cold_target_gets_no_more_than_its_limit_in_any_second():
     state = _make()
     state.cold_until = 10.0
-    sends = [
-        t / 100
-        for t in range(300)
-        if state.try_acquire_cold_send(t / 100, lambda _: 3)
-    ]
+    sends = []
+    for t in range(300):
+        if state.count_cold_sends(t / 100) < 3:
+            state.record_send(t / 100)
+            sends.append(t / 100)
+    assert sends
     for start in sends:
         assert sum(start <= t < start + 1.0 for t in sends) <= 3
 
--- a/tests/model/shares.py
+++ b/tests/model/shares.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 
-from savorycross.forward import engine
 from savorycross.forward import target_state
+from savorycross.overload import share_views
 from savorycross.overload import shares
 from tests.model import checking
 
@@ -18,7 +18,7 @@
 TOTAL = 1
 WINDOW_TICKS = 2
 TICKS_PER_S = WINDOW_TICKS / target_state.COLD_WINDOW_S
-SPREAD_TICKS = int(engine.VIEW_SPREAD_S * TICKS_PER_S)
+SPREAD_TICKS = int(share_views.VIEW_SPREAD_S * TICKS_PER_S)
 MAX_TICKS = 14
 # The set of senders, as it changes.
 SENDERS = (frozenset('ab'), frozenset('bc'), frozenset('ac'))
--- a/tests/rate/test_statement.py
+++ b/tests/rate/test_statement.py
@@ -40,7 +40,7 @@
 
 def _rate(engine):
     (state,) = engine.target_registry.states()
-    return state.statement.rate_per_s
+    return state.rate.statement.rate_per_s
 
 
 def test_answer_that_was_overtaken_does_not_end_a_limit():
