Let a call wait for a target while its service has none

What callers saw: while no target of a service is known, calls were refused at once with the reason 'rate limits' instead of waiting for one.

Cause: no targets counted as 'all targets state limits' since, and no targets never get tokens, so the turn was expected never.

Evidence: tests/processes/test_platform.py, test_each_failed_request_is_explained_by_logs_and_metrics failed ('rate limits' instead of 'no usable target'); the new test of tests/rate/test_limiter.py failed before and passes now, as does the former.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -174,7 +174,7 @@
         return self._expect_turn(service, states, now)
 
     def _expect_turn(self, service, states, now):
-        if any(not s.rate.is_limited for s in states):
+        if not states or any(not s.rate.is_limited for s in states):
             return now
         binding = self._views.binding(now)
         tokens = sum(s.rate.expect(binding, now, now) for s in states)
