Lend tokens between instances, and tell others what targets state

What callers saw: where all targets of a shard state limits, an instance without tokens for a target refused calls or answered late, while others had tokens left; and each instance learned of a limit only from its own answers.

Cause: calls reach instances at random, and each held a fixed part of a rate.

Change: an instance without tokens asks those that hold parts, one after the other, and uses what they lend within 0.3 s; after a round in vain it asks nobody for 0.2 s, so that calls are refused early. The begin, end and fall of a limit are told to the others. A lost message or a copy of one never allows more sends. Only instances that take callers hold parts, so that none is held by one that has ended.

--- a/savorycross/fleet/directory.py
+++ b/savorycross/fleet/directory.py
@@ -29,7 +29,9 @@
         self._peers = peers
         self._subset = subset
         self._read_load = read_load
-        self._seed_names = {f'seed {n + 1}' for n in range(seed_count)}
+        self._seed_names = frozenset(
+            f'seed {n + 1}' for n in range(seed_count)
+        )
         self._started_at = now
         self._refresh_at = now
         self._listed = []
@@ -50,17 +52,43 @@
     def shares(self, now):
         """Return the LimitShares of this instance."""
         self._refresh(now)
-        known = {p.name for p in self._peers.recent_peers(now)}
-        known.add(self._own.name)
+        known = self._list_known(now)
         senders = self._subset.senders(self._own.name, now)
         if now - self._started_at < PEER_DISCOVERY_S:
-            senders |= known
-            if len(senders) <= len(self._seed_names):
-                senders |= self._seed_names
+            senders |= self._list_possible(senders | known)
         return shares.LimitShares(
             self._own.name, senders, frozenset(known - senders)
         )
 
+    def rate_shares(self, now):
+        """Return the LimitShares of the rates that targets state.
+
+        Instances that take callers now hold parts. Others, such as those
+        that callers of an outdated list still use, borrow tokens from them,
+        so that no part is held by an instance that has ended. If most of the
+        senders are gone at once, this instance may be the one that is cut
+        off, so all of them hold parts until their sends no longer count.
+        """
+        self._refresh(now)
+        holders = self._subset.selected
+        senders = self._subset.senders(self._own.name, now)
+        if 2 * len(holders) < len(senders):
+            holders |= senders
+        if now - self._started_at < PEER_DISCOVERY_S or not holders:
+            holders |= self._list_possible(holders | self._list_known(now))
+        return shares.LimitShares(self._own.name, holders)
+
+    def _list_known(self, now):
+        """Return the names of all instances that may send."""
+        known = {p.name for p in self._peers.recent_peers(now)}
+        return frozenset(known | {self._own.name})
+
+    def _list_possible(self, names):
+        """Return names, and those of the seeds if they are fewer."""
+        if len(names) > len(self._seed_names):
+            return names
+        return names | self._seed_names
+
     def _refresh(self, now):
         if now < self._refresh_at:
             return
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -214,6 +214,11 @@
         digest = xxhash.xxh32_intdigest(f'{self.own.name}|{peer.name}')
         return state.revision, is_local, digest
 
+    def find_host(self, name):
+        """Return the host of an instance, or None if it is not known."""
+        state = self._by_name.get(name)
+        return state.peer.address[0] if state is not None else None
+
     def local_addresses(self):
         """Return the addresses of the peers in this data centre."""
         return [
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -37,6 +37,7 @@
     :param timers: Timers.
     :param log: EventLog.
     :param metrics: metrics.registry.Registry.
+    :param rates: TargetRates.
     :param now: callable that returns the runtime clock time in seconds.
     """
 
@@ -50,6 +51,7 @@
         timers,
         log,
         metrics,
+        rates,
         now=trio.current_time,
     ):
         self.dialect = dialect
@@ -58,6 +60,8 @@
         self.timers = timers
         self.log = log
         self.metrics = metrics
+        self.rates = rates
+        rates.subscribe(self.wake_line)
         self._now = now
         self._settings = settings
         self._picker = picker
@@ -156,12 +160,12 @@
                 (s.unreachable_until for s in states), default=math.inf
             )
             return reachability.Outlook(False, retry_at)
-        turn_at = self._expect_turn(service, reachable, now)
-        tokens = math.inf
-        if all(s.rate.is_limited for s in reachable):
-            binding = self._views.binding(now)
-            tokens = sum(s.rate.expect(binding, now, now) for s in reachable)
-        return reachability.Outlook(turn_at <= until, turn_at, tokens)
+        turn_at = self.rates.expect_turn(
+            reachable, len(self.line(service)), now
+        )
+        is_in_time = turn_at <= until or self.rates.may_borrow(reachable, now)
+        tokens = self.rates.count_tokens(reachable, now)
+        return reachability.Outlook(is_in_time, turn_at, tokens)
 
     def expect_turn(self, service, now):
         """Return when the limits of targets allow one more send.
@@ -171,18 +175,12 @@
         :returns: runtime clock time in seconds.
         """
         states = self.target_registry.list_usable(service)
-        return self._expect_turn(service, states, now)
-
-    def _expect_turn(self, service, states, now):
-        if not states or any(not s.rate.is_limited for s in states):
-            return now
-        binding = self._views.binding(now)
-        tokens = sum(s.rate.expect(binding, now, now) for s in states)
-        rate_per_s = sum(s.rate.rate_per_s(binding, now) for s in states)
-        missing = len(self.line(service)) + 1 - tokens
-        if missing <= 0:
-            return now
-        return now + missing / rate_per_s if rate_per_s else math.inf
+        return self.rates.expect_turn(states, len(self.line(service)), now)
+
+    def may_borrow(self, service, now):
+        """Return whether another instance may allow a send to a target."""
+        states = self.target_registry.list_usable(service)
+        return self.rates.may_borrow(states, now)
 
     def line(self, service):
         """Return the WaitingLine of a service; it is made if needed."""
@@ -252,27 +250,44 @@
                 not s.rate.is_limited and s.has_room and not s.is_ejected(now)
                 for s in states
             )
-        binding = self._views.binding(now)
-        return self._picker.pick(
+        picked = self._picker.pick(
             states,
             tried,
             now,
-            lambda s: self._may_send(s, binding, now, keeps_reserve),
+            lambda s: self.may_send(s, now, keeps_reserve),
             preferred,
         )
+        if picked is None and not keeps_reserve:
+            self._borrow(service, states, tried, now)
+        return picked
+
+    def _borrow(self, service, states, tried, now):
+        """Ask other instances for tokens of targets that have room."""
+        states = [
+            s
+            for s in states
+            if s.target.id not in tried
+            and s.has_room
+            and not s.is_unreachable(now)
+            and self._is_cold_send_allowed(s, now)
+        ]
+        self.rates.borrow(states, len(self.line(service)) + 1, now)
 
     def is_limited(self, service):
         """Return whether all targets of a service state limits."""
         states = self.target_registry.list_usable(service)
-        return all(s.rate.is_limited for s in states)
+        return self.rates.are_limited(states)
 
-    def may_send(self, state, now):
+    def may_send(self, state, now, keeps_reserve=False):
         """Return whether the limits of a target allow one more send.
 
         :param state: TargetState of the target.
         :param now: runtime clock time in seconds.
+        :param keeps_reserve: see ``pick``.
         """
-        return self._may_send(state, self._views.binding(now), now)
+        return self.rates.may_send(
+            state, now, keeps_reserve
+        ) and self._is_cold_send_allowed(state, now)
 
     def record_send(self, state, kind, now, is_paid=False):
         """Count a send toward the limits of its target and in the metrics.
@@ -287,7 +302,7 @@
         state.record_send(now)
         is_limited = state.rate.is_limited
         if not is_paid:
-            is_paid = state.rate.take(self._views.binding(now), now)
+            is_paid = self.rates.take(state, now)
         if kind is not attempt.SendKind.DELEGATED:
             is_first = kind is attempt.SendKind.FIRST
             self.metrics.count('sends', kind='first' if is_first else 'extra')
@@ -317,15 +332,7 @@
         is_limit = rate_per_s is not None and verdict is calls.Verdict.NOT_RUN
         if not is_answer and not is_limit:
             return
-        now = self.now()
-        stated = state.rate.statement.update(rate_per_s, sent_at, now)
-        if state.rate.record(stated, self._views.binding(now), now):
-            self.log.event(
-                'target.limited' if rate_per_s is not None else 'target.freed',
-                target=state.target.id,
-                service=state.target.service,
-                rate_per_s=rate_per_s,
-            )
+        self.rates.record_statement(state, rate_per_s, sent_at, self.now())
 
     def count_failure(self, service, reason):
         """Count a send without an answer in the metrics.
@@ -364,19 +371,11 @@
             service: line for service, line in self._lines.items() if line
         }
 
-    def _may_send(self, state, binding, now, keeps_reserve=False):
-        """Return whether the limits of a target allow one more send.
-
-        :param binding: the LimitShares that bind this instance.
-        :param keeps_reserve: see ``pick``.
-        """
-        if not state.rate.may_send(binding, now, keeps_reserve):
-            if not keeps_reserve:
-                state.rate.record_lack(now)
-            return False
+    def _is_cold_send_allowed(self, state, now):
+        """Return whether the limit of sends to a cold target allows one."""
         if not state.is_cold(now):
             return True
-        limit = self._cold_limit(state, binding)
+        limit = self._cold_limit(state, self._views.binding(now))
         return state.count_cold_sends(now) + 1 <= limit
 
     def _cold_limit(self, state, binding):
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -13,6 +13,11 @@
 MAX_UNSENT = 4
 # A refusal counts as an answer with this relative latency.
 REFUSAL_RELATIVE_LATENCY = 8.0
+# Share of the latency objective for which a send waits for tokens of other
+# instances if the own ones come too late.
+BORROW_WAIT_SHARE = 0.2
+# How often a hedge that lacks tokens is tried again.
+BORROW_RECHECK_S = 0.01
 # How often a send that lacks budget is tried again.
 BUDGET_RECHECK_S = 0.02
 # A send that ends without a reply counts as a failure of its target if it
@@ -338,11 +343,10 @@
             self._wait_for_budget(now)
             return
         wait_until = self._wait_until(now)
-        may_wait = not self.is_dispensable
         turn_at = self._engine.expect_turn(self.service, now)
-        if turn_at > wait_until or (turn_at > now and not may_wait):
+        if turn_at > now and (self.is_dispensable or turn_at > wait_until):
             self.reason = 'rate limits'
-            wait_until = now
+            wait_until = min(wait_until, self._borrow_until(now))
         if now >= wait_until:
             self._finish(State.FAILED)
             return
@@ -369,6 +373,14 @@
             return self.wait_for_target_until
         return self.end_at - self._route_latency.typical_s
 
+    def _borrow_until(self, now):
+        """Return the time until which to wait for borrowed tokens."""
+        if self.is_dispensable or not self._engine.may_borrow(
+            self.service, now
+        ):
+            return now
+        return now + BORROW_WAIT_SHARE * self.route.objective_s
+
     def _stop_waiting(self):
         """Fail, as room does not come in time."""
         self._engine.line(self.service).leave(self)
@@ -443,8 +455,11 @@
         self._abandon_unconnected(now)
         if self._in_flight and not self.route.is_idempotent:
             return
-        if self._may_send_more():
-            self._send(now, is_hedge=True)
+        if not self._may_send_more() or self._send(now, is_hedge=True):
+            return
+        is_short_of_tokens = not self._lacks_budget
+        if is_short_of_tokens and self._engine.may_borrow(self.service, now):
+            self._set_timer(now + BORROW_RECHECK_S, self._hedge)
 
     def _abandon_unconnected(self, now):
         """Abandon sends that still wait for their connection."""
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -28,6 +28,8 @@
 from savorycross.metrics import loop_load
 from savorycross.metrics import registry
 from savorycross.overload import caller_subset
+from savorycross.rate import target_rates
+from savorycross.rate import transport as rate_transports
 from savorycross.wire import messages
 from savorycross.wire import pool
 from savorycross.wire import reply_size
@@ -104,6 +106,7 @@
         self._target_registry = target_registries.TargetRegistry(
             self._make_pool, self.log
         )
+        self._make_rates()
         self._engine = engines.Engine(
             settings,
             self._adapter.make_dialect(),
@@ -115,9 +118,32 @@
             self._timers,
             self.log,
             self.metrics,
+            self._rates,
         )
         self._gateway = gateways.Gateway(self._engine)
 
+    def _make_rates(self):
+        settings = self._settings
+        self._rate_transport = rate_transports.RateTransport(
+            settings.rate_address, self._find_rate_address, self.metrics
+        )
+        self._rates = target_rates.TargetRates(
+            settings.name,
+            not settings.is_first_start,
+            self._target_registry,
+            self._rate_transport.send,
+            self._rng,
+            self.log,
+            trio.current_time(),
+        )
+        self._rate_transport.on_message = lambda message: (
+            self._rates.on_message(message, trio.current_time())
+        )
+
+    def _find_rate_address(self, name):
+        host = self._peer_registry.find_host(name)
+        return (host, self._settings.rate_address[1]) if host else None
+
     def _make_pool(self, address):
         return pool.Pool(address, self._nursery, self._buffered)
 
@@ -237,6 +263,7 @@
         tasks = {
             'timers': self._timers.run,
             'heartbeats': self._heartbeat_transport.run,
+            'rates': self._rate_transport.run,
             'store follower': self._follower.run,
             'announcement': self._announcer.run,
             'mirror synchronization': self._mirror_sync.run,
@@ -292,6 +319,7 @@
     def _update_shares(self):
         now = trio.current_time()
         self._engine.set_shares(self._directory.shares(now))
+        self._rates.set_shares(self._directory.rate_shares(now), now)
 
     def _count_instances(self):
         return self._peer_registry.count(trio.current_time())
--- a/savorycross/gateway/instance_settings.py
+++ b/savorycross/gateway/instance_settings.py
@@ -44,6 +44,8 @@
         ready.
     :param directory_address: where callers ask which instances to use.
     :param peer_address: UDP and TCP address for other instances.
+    :param rate_address: UDP address for messages of other instances about
+        the rates that targets state; its port is the same on all instances.
     :param seeds: peer addresses of other instances, some of which may be
         stale.
     :param is_first_start: whether the whole system starts for the first
@@ -67,6 +69,7 @@
     ready_address: tuple[str, int]
     directory_address: tuple[str, int]
     peer_address: tuple[str, int]
+    rate_address: tuple[str, int]
     metrics_address: tuple[str, int]
     store_address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...]
--- a/savorycross/overload/shares.py
+++ b/savorycross/overload/shares.py
@@ -73,7 +73,7 @@
         base, rest = divmod(int(total), len(self.senders))
         if not rest:
             return base
-        return base + (self._rank(self.senders, key) < rest)
+        return base + (self.own in self.rank(key)[:rest])
 
     def connections(self, total, key):
         """Return how many connections to a target this instance may open.
@@ -106,10 +106,14 @@
         """
         return max(1, math.ceil(slots * MAX_SLOT_MULTIPLE * self.fraction))
 
-    def _rank(self, names, key):
-        """Return how many of the names come before this instance."""
-        own_hash = _hash(key, self.own)
-        return sum(_hash(key, name) > own_hash for name in names)
+    def rank(self, key):
+        """Return the names of the senders, those first that get units first.
+
+        :param key: name of the limited object.
+        """
+        return sorted(
+            self.senders, key=lambda name: _hash(key, name), reverse=True
+        )
 
 
 def _hash(key, name):
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,8 +1,7 @@
 """HTTP headers that the platform's callers and targets use."""
 
-import math
-
 from savorycross.forward import call as calls
+from savorycross.rate import statement
 from savorycross.wire import messages
 
 _ID = b'request-id'
@@ -95,14 +94,7 @@
 
     def read_rate_limit(self, reply):
         """Return the requests a second that a target takes, or None."""
-        value = reply.header(_RATE_LIMIT)
-        if value is None:
-            return None
-        try:
-            rate_per_s = float(value)
-        except ValueError:
-            return None
-        return rate_per_s if 0.0 <= rate_per_s < math.inf else None
+        return statement.parse_rate(reply.header(_RATE_LIMIT))
 
     def make_part(self, stamp, body):
         """Return a successful Reply with a target's signature and body."""
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -80,6 +80,7 @@
         ready_address=_parse_address(document.listen.ready),
         directory_address=_parse_address(document.listen.directory),
         peer_address=(document.ip, document.internal_ports[0]),
+        rate_address=(document.ip, document.internal_ports[1]),
         metrics_address=(document.ip, metrics_port),
         store_address=_parse_address(document.platform.addr),
         seeds=tuple(
--- a/savorycross/rate/bucket.py
+++ b/savorycross/rate/bucket.py
@@ -85,18 +85,20 @@
         self._tokens = max(self._tokens - 1.0, 0.0)
         return True
 
-    def lend(self, wanted, kept, now):
-        """Take tokens out for another instance.
+    def charge(self, now):
+        """Take a token even if there is none, which leaves a debt."""
+        self._refill(now)
+        self._tokens -= 1.0
 
-        Borrowed tokens are not lent on.
+    def lend(self, wanted, now):
+        """Take tokens out for another instance; borrowed ones stay.
 
         :param wanted: number of tokens that it asks for.
-        :param kept: number of tokens that stay, with fractions.
         :returns: number of tokens taken out.
         """
         self._refill(now)
-        lent = max(0, min(wanted, int(self._tokens - kept + TOLERANCE)))
-        self._tokens -= lent
+        lent = max(min(wanted, int(self._tokens + TOLERANCE)), 0)
+        self._tokens = max(self._tokens - lent, 0.0)
         return lent
 
     def borrow(self, n, now):
--- a/savorycross/rate/limiter.py
+++ b/savorycross/rate/limiter.py
@@ -1,36 +1,47 @@
 """Keeps this instance's sends to one target within its part of the rate."""
 
+import math
+
+from savorycross.rate import borrowing
 from savorycross.rate import bucket
 from savorycross.rate import share
 from savorycross.rate import statement
 
-# A sender lacked tokens lately if it did within this time.
-LACKING_S = 0.25
-# Time for which a lender keeps the tokens that it expects to use itself.
-RESERVE_S = 0.25
-# Weight of the latest interval in the average of the sends a second.
-USE_WEIGHT = 0.3
-MIN_INTERVAL_S = 0.02
+# Sends that wait are tried again more often, so an instance whose sends lack
+# tokens has recorded that within this time.
+LACKING_S = 0.05
+# Other instances are told when a limit begins, ends or falls by this part;
+# they learn of smaller changes from their own answers.
+TOLD_DECREASE = 0.1
+# A target whose statement changes with each answer is told of this often.
+TOLD_INTERVAL_S = 0.2
 
 
 class RateLimiter:
     """Limits the sends to a target that states how many it takes.
 
     ``statement`` is what the target last said. Without a limit in it all
-    sends are allowed, and none is counted.
+    sends are allowed, and none is counted. ``borrowing`` chooses whom to ask
+    for tokens.
 
     :param target_id: id of the target.
     :param now: runtime clock time in seconds.
+    :param divide: ``share.Division``, which tells this instance's part of
+        the rate under a view. The methods take the views that bind this
+        instance as a tuple, which is the same one until they change.
     """
 
-    def __init__(self, target_id, now):
+    def __init__(self, target_id, now, divide=share.divide):
         self.statement = statement.Statement()
+        self.borrowing = borrowing.Borrowing()
+        self._told_per_s = None
+        self._tell_at = now
         self._target_id = target_id
+        self._divide = divide
         self._bucket = bucket.TokenBucket(now)
         self._views = None
+        self._ranking = None, ()
         self._lacking_until = now
-        self._use_per_s = 0.0
-        self._used_at = now
 
     @property
     def is_limited(self):
@@ -42,7 +53,7 @@
 
         A new limit begins without tokens, as the target got more until then.
 
-        :param views: the LimitShares that bind this instance.
+        :param views: see the class.
         """
         previous, self.statement = self.statement, new
         if new.rate_per_s == previous.rate_per_s:
@@ -54,10 +65,35 @@
             self._filled(views, now)
         return True
 
+    def record_told(self):
+        """Record that the other instances know the statement in force."""
+        self._told_per_s = self.statement.rate_per_s
+
+    @property
+    def told_per_s(self):
+        """The limit that the other instances know; None for none."""
+        return self._told_per_s
+
+    def is_due_to_tell(self, now):
+        """Return whether other instances are to be told of the statement.
+
+        If so, they count as told.
+        """
+        stated, told = self.statement.rate_per_s, self._told_per_s
+        if stated is None or told is None:
+            has_changed = stated is not told
+        else:
+            has_changed = stated < (1.0 - TOLD_DECREASE) * told
+        if not has_changed or now < self._tell_at:
+            return False
+        self._tell_at = now + TOLD_INTERVAL_S
+        self.record_told()
+        return True
+
     def may_send(self, views, now, keeps_reserve=False):
         """Return whether a send is allowed now.
 
-        :param views: the LimitShares that bind this instance.
+        :param views: see the class.
         :param keeps_reserve: whether the send has to leave tokens for others,
             as the call can do without it or has another target.
         """
@@ -75,11 +111,22 @@
         """
         if not self.is_limited:
             return False
-        taken = self._filled(views, now).take(now)
-        interval_s = max(now - self._used_at, MIN_INTERVAL_S)
-        self._use_per_s += USE_WEIGHT * (1.0 / interval_s - self._use_per_s)
-        self._used_at = now
-        return taken
+        return self._filled(views, now).take(now)
+
+    def charge(self, views, now):
+        """Count a request that is sent whether or not the limit allows it."""
+        if self.is_limited:
+            self._filled(views, now).charge(now)
+
+    def next_send_at(self, views, now):
+        """Return the runtime clock time at which a send is allowed."""
+        if not self.is_limited:
+            return now
+        filled = self._filled(views, now)
+        missing = max(1.0 - filled.expect(now, now), 0.0)
+        if missing and not filled.rate_per_s:
+            return math.inf
+        return now + (missing / filled.rate_per_s if missing else 0.0)
 
     def expect(self, views, until, now):
         """Return the tokens that there will be at a time, with fractions."""
@@ -89,28 +136,32 @@
         """Return this instance's part of the rate."""
         return self._filled(views, now).rate_per_s
 
+    def list_holders(self, shares):
+        """Return the names of the instances that hold parts of the rate.
+
+        :param shares: LimitShares in force.
+        """
+        ranked_shares, ranked = self._ranking
+        if ranked_shares is not shares:
+            ranked = shares.rank(self._target_id)
+            self._ranking = shares, ranked
+        return ranked[: share.count_holders(self.statement.rate_per_s, shares)]
+
     def record_lack(self, now):
         """Record that a send was not allowed."""
         self._lacking_until = now + LACKING_S
 
-    def is_lacking(self, now):
-        """Return whether a send was not allowed lately."""
-        return self.is_limited and now < self._lacking_until
-
     def lend(self, wanted, views, now):
-        """Take out tokens for another instance that lacks them.
+        """Take out tokens for another instance whose sends lack them.
 
-        An instance lends what it does not expect to use itself soon.
+        An instance whose own sends lacked tokens just now lends none.
 
         :param wanted: number of tokens that it asks for.
         :returns: number of tokens that it may use.
         """
-        if not self.is_limited or self.is_lacking(now):
+        if not self.is_limited or now < self._lacking_until:
             return 0
-        idle_s = max(now - self._used_at, MIN_INTERVAL_S)
-        use_per_s = min(self._use_per_s, 1.0 / idle_s)
-        kept = use_per_s * RESERVE_S
-        return self._filled(views, now).lend(wanted, kept, now)
+        return self._filled(views, now).lend(wanted, now)
 
     def borrow(self, n, now):
         """Add tokens that another instance has lent."""
@@ -122,7 +173,7 @@
         if views is not self._views:
             self._views = views
             part = share.smallest(
-                share.divide(self.statement.rate_per_s, v, self._target_id)
+                self._divide(self.statement.rate_per_s, v, self._target_id)
                 for v in views
             )
             self._bucket.set_rate(part.rate_per_s, part.burst, now)
--- a/savorycross/rate/share.py
+++ b/savorycross/rate/share.py
@@ -4,13 +4,14 @@
 Equal parts would give each a token every few seconds, and a burst of all of
 them could exceed the rate. So about as many senders as the target takes
 requests a second get equal parts, by rendezvous hashing of the target, and the
-others borrow from them (``rate.lending``).
+others borrow from them (``rate.borrowing``).
 
 With a burst of one second, the senders together send at most five times the
 rate and a few requests in four seconds, borrowed tokens included.
 """
 
 import dataclasses
+import typing
 
 # Holders of a part beyond the number of requests a second.
 EXTRA_HOLDERS = 2
@@ -33,6 +34,18 @@
     burst: float = 0.0
 
 
+class Division(typing.Protocol):
+    """Tells an instance's part of the rate that a target states."""
+
+    def __call__(self, rate_per_s, view, target_id):
+        """Return the RateShare of this instance.
+
+        :param rate_per_s: rate that the target states.
+        :param view: what this instance knows of those that send.
+        :param target_id: id of the target.
+        """
+
+
 def divide(rate_per_s, shares, target_id):
     """Return the RateShare of an instance.
 
@@ -52,13 +65,24 @@
     if not shares.is_sender:
         return RateShare()
     rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
-    holders = min(int(rate_per_s) + EXTRA_HOLDERS, len(shares.senders))
-    if not shares.units(holders, target_id):
+    count = count_holders(rate_per_s, shares)
+    if not shares.units(count, target_id):
         return RateShare()
-    part_per_s = rate_per_s / holders
+    part_per_s = rate_per_s / count
     return RateShare(part_per_s, max(part_per_s * BURST_S, 1.0))
 
 
+def count_holders(rate_per_s, shares):
+    """Return how many of the senders hold a part, those ranked first.
+
+    >>> from savorycross.overload.shares import LimitShares
+    >>> count_holders(1.0, LimitShares('a', frozenset('abcd')))
+    3
+    """
+    rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
+    return min(int(rate_per_s) + EXTRA_HOLDERS, len(shares.senders))
+
+
 def smallest(parts):
     """Return the smallest of several RateShares."""
     return min(parts, key=lambda part: part.rate_per_s)
--- a/savorycross/rate/statement.py
+++ b/savorycross/rate/statement.py
@@ -40,3 +40,20 @@
         if sent_at < self.sent_at:
             return self
         return Statement(None, sent_at)
+
+
+def parse_rate(text):
+    """Return the requests a second that a header states, or None.
+
+    :param text: value of the header as bytes, or None.
+
+    >>> parse_rate(b'9.5'), parse_rate(b'many'), parse_rate(None)
+    (9.5, None, None)
+    """
+    if text is None:
+        return None
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return None
+    return rate_per_s if 0.0 <= rate_per_s < math.inf else None
--- /dev/null
+++ b/savorycross/rate/transport.py
@@ -0,0 +1,75 @@
+"""Exchanges the messages about rates over UDP."""
+
+import socket
+
+import trio
+
+from savorycross.rate import protocol
+
+MAX_DATAGRAM_BYTES = 16384
+# Messages that wait to be sent; further ones are dropped, as old news and
+# requests are of no use.
+MAX_QUEUED = 1024
+
+
+class RateTransport:
+    """Sends and receives RateMessages on one UDP socket.
+
+    ``on_message``, called with each message received, is set before ``run``.
+
+    :param address: host and port to bind.
+    :param find_address: callable that takes the name of an instance and
+        returns the host and port of its socket, or None.
+    :param metrics: Registry.
+    """
+
+    def __init__(self, address, find_address, metrics):
+        self._address = address
+        self._find_address = find_address
+        self._metrics = metrics
+        self._outgoing, self._queue = trio.open_memory_channel(MAX_QUEUED)
+        self.on_message = lambda message: None
+
+    def send(self, name, message):
+        """Queue a message; it is lost if the instance is not known.
+
+        :param name: name of the instance that gets it.
+        """
+        address = self._find_address(name)
+        if address is None:
+            return
+        try:
+            self._outgoing.send_nowait((address, message))
+        except trio.WouldBlock:
+            self._metrics.count('rate_messages_dropped')
+
+    async def run(self):
+        """Exchange messages until cancelled."""
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            await sock.bind(self._address)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, sock)
+                while True:
+                    address, message = await self._queue.receive()
+                    await self._send_now(sock, address, message)
+
+    async def _send_now(self, sock, address, message):
+        self._metrics.count('rate_messages', direction='sent')
+        try:
+            await sock.sendto(protocol.encode(message), address)
+        except OSError:
+            self._metrics.count('rate_send_errors')
+
+    async def _receive(self, sock):
+        while True:
+            try:
+                data, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                self._metrics.count('rate_receive_errors')
+                continue
+            try:
+                message = protocol.decode(data)
+            except ValueError:
+                self._metrics.count('rate_messages_invalid')
+                continue
+            self.on_message(message)
--- a/standins/fleet/fleet.py
+++ b/standins/fleet/fleet.py
@@ -20,6 +20,8 @@
 REFRESH_INTERVAL_S = 0.5
 # Time until an instance that ended leaves the list.
 DETECTION_S = 1.7
+# One way between two instances.
+PEER_DELAY_S = 0.001
 # The bound on requests to a target that states a limit: in any window as many
 # as the limit allows, times the overage, and the slack; from the time on by
 # which all instances have learned of it.
@@ -112,6 +114,16 @@
         for name in self._services_by_path[path]:
             self._requested.setdefault(name, []).append(now)
 
+    def send_rate_message(self, name, message):
+        """Deliver a RateMessage to an instance, if it is alive by then."""
+
+        def deliver():
+            for receiver in self._instances:
+                if receiver.name == name and receiver.is_alive:
+                    receiver.rates.on_message(message, self.scheduler.time)
+
+        self.scheduler.call_later(PEER_DELAY_S, deliver)
+
     def _make_configuration(self):
         routes = []
         self._services_by_path = {}
@@ -206,6 +218,10 @@
                     instance.name, senders, names - senders
                 )
             )
+            instance.rates.set_shares(
+                self.variant.make_shares(instance.name, self._subset.selected),
+                now,
+            )
         self.scheduler.call_later(REFRESH_INTERVAL_S, self._refresh)
 
     def _arrive_next(self, kind, number):
--- a/standins/fleet/instance.py
+++ b/standins/fleet/instance.py
@@ -8,6 +8,7 @@
 from savorycross.gateway import gateway
 from savorycross.gateway import instance_settings
 from savorycross.metrics import registry
+from savorycross.rate import target_rates
 from standins.fleet import dialect
 from standins.fleet import pool
 
@@ -60,6 +61,15 @@
         log = _NoLog()
         self.targets = target_registry.TargetRegistry(self._make_pool, log)
         address = ('127.0.0.1', 1)
+        self.rates = target_rates.TargetRates(
+            name,
+            not is_first_start,
+            self.targets,
+            fleet.send_rate_message,
+            rng,
+            log,
+            fleet.scheduler.time,
+        )
         own = heartbeat.Peer(name, 1, data_centre, address, address)
         self.engine = fleet.variant.make_engine(
             settings=_make_settings(name, data_centre, fleet, is_first_start),
@@ -70,6 +80,7 @@
             timers=fleet.scheduler,
             log=log,
             metrics=registry.Registry(),
+            rates=self.rates,
             now=now,
         )
         self._gateway = gateway.Gateway(self.engine)
@@ -143,6 +154,7 @@
         ready_address=address,
         directory_address=address,
         peer_address=address,
+        rate_address=address,
         metrics_address=address,
         store_address=address,
         seeds=(),
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -34,8 +34,10 @@
     return tested, registry
 
 
-def _hear_all(registry, now):
+def _hear_all(registry, now, silent=()):
     for peer in registry.recent_peers(now):
+        if peer in silent:
+            continue
         message = heartbeat.Heartbeat(
             heartbeat.FORMAT, peer.id, heartbeat.READY, 7, True
         )
@@ -74,12 +76,7 @@
     lost = next(p for p in registry.recent_peers(3.0) if p.name in before)
     silent_at = 3.0 + peer_registry.REMOTE_DEAD_AFTER_S
     for now in (silent_at, silent_at + 0.5):
-        for peer in registry.recent_peers(now):
-            if peer != lost:
-                message = heartbeat.Heartbeat(
-                    heartbeat.FORMAT, peer.id, heartbeat.READY, 7, True
-                )
-                registry.on_heartbeat(message, peer.address, now)
+        _hear_all(registry, now, {lost})
         after = tested.shares(now).senders
     assert lost.name in after
     assert len(after) == len(before) + 1
@@ -92,3 +89,28 @@
     assert registry.own.caller_address in tested.addresses(3.0)
     tested.is_ready = False
     assert registry.own.caller_address not in tested.addresses(3.01)
+
+
+def test_instance_that_ended_holds_no_part_of_a_rate():
+    tested, registry = _make(4)
+    _hear_all(registry, 3.0)
+    lost, *_ = registry.recent_peers(3.0)
+    assert lost.name in tested.rate_shares(3.0).senders
+    silent_at = 3.1 + peer_registry.REMOTE_DEAD_AFTER_S
+    _hear_all(registry, silent_at, {lost})
+    shares = tested.rate_shares(silent_at)
+    assert lost.name not in shares.senders
+    assert shares.fraction == 1 / 3
+
+
+def test_instance_that_hears_nobody_keeps_its_part_of_a_rate():
+    tested, registry = _make(4)
+    _hear_all(registry, 3.0)
+    assert tested.rate_shares(3.0).fraction == 1 / 4
+    silent_at = 3.1 + peer_registry.REMOTE_DEAD_AFTER_S
+    assert tested.rate_shares(silent_at).fraction == 1 / 4
+
+
+def test_new_instance_does_not_hold_a_whole_rate():
+    tested, _ = _make(1, seed_count=3)
+    assert tested.rate_shares(0.0).fraction == 1 / 4
--- a/tests/forward/fake_engine.py
+++ b/tests/forward/fake_engine.py
@@ -14,6 +14,7 @@
 from savorycross.gateway import instance_settings
 from savorycross.metrics import registry
 from savorycross.platform import dialect
+from savorycross.rate import target_rates
 from savorycross.route import route
 from savorycross.wire import messages
 from savorycross.wire import timers
@@ -78,17 +79,35 @@
         self.sends = []
         self.settings = make_settings(slack, is_first_start)
         event_log = null_log.NullLog()
+        targets = target_registry.TargetRegistry(self._make_pool, event_log)
+        self.rate_messages = []
         super().__init__(
             self.settings,
             dialect.PlatformDialect(),
-            target_registry.TargetRegistry(self._make_pool, event_log),
+            targets,
             picker.Picker('bilbo', random.Random(1)),
             others or make_delegates(),
             timers.Timers(),
             event_log,
             registry.Registry(),
+            target_rates.TargetRates(
+                self.settings.name,
+                not is_first_start,
+                targets,
+                lambda name, message: self.rate_messages.append(
+                    (name, message)
+                ),
+                random.Random(1),
+                event_log,
+                self.time,
+            ),
         )
 
+    def set_all_shares(self, shares):
+        """Set this instance's shares of all limits."""
+        self.set_shares(shares)
+        self.rates.set_shares(shares, self.time)
+
     def now(self):
         """Return the time."""
         return self.time
@@ -150,6 +169,7 @@
         ready_address=('127.0.0.1', 2),
         directory_address=('127.0.0.1', 3),
         peer_address=('127.0.0.1', 4),
+        rate_address=('127.0.0.1', 7),
         metrics_address=('127.0.0.1', 6),
         store_address=('127.0.0.1', 5),
         seeds=(),
--- a/tests/rate/test_limiter.py
+++ b/tests/rate/test_limiter.py
@@ -83,9 +83,8 @@
 
 def _state_limit(engine, rate_per_s):
     (state,) = engine.target_registry.states()
-    binding = engine._views.binding(engine.now())
-    stated = statement.Statement(rate_per_s, engine.now())
-    state.rate.record(stated, binding, engine.now())
+    now = engine.now()
+    engine.rates.record_statement(state, rate_per_s, now, now)
     return state
 
 
