Keep to the rates that targets state on the product's own interface

Change: replies of targets state a rate in X-Rate-Limit. All requests to the target take tokens of its owner, who publishes the rate with the inventory; an instance whose ownership is not certain sends at a tenth of the rate. Jobs that the rates allow too late are refused at once, as not run.

Real processes, killed and frozen: tests/processes/test_faults.py, test_stated_rates_hold.

--- a/bench/hotpath.py
+++ b/bench/hotpath.py
@@ -155,8 +155,10 @@
         clock.HybridClock(time.time),
         nursery,
         lambda attempt_id, result: send.send_nowait(result),
-        lambda inventory: None,
+        lambda inventory, sent_at: None,
         lambda name, boot: None,
+        lambda name: None,
+        lambda name: 0.0,
     )
     target_client.reconcile([target])
     deadline = trio.current_time() + 60
--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -356,9 +356,14 @@
         """Pass an attempt's result to the relay."""
         self.relay.post(inbox.AttemptEnded(attempt_id, result))
 
-    def on_inventory(self, target_inventory):
-        """Pass a target's inventory to the relay."""
-        self.relay.post(inbox.TargetInventoryReceived(target_inventory))
+    def on_inventory(self, target_inventory, sent_at):
+        """Pass a target's inventory to the relay.
+
+        :param sent_at: runtime clock time at which it was asked for.
+        """
+        self.relay.post(
+            inbox.TargetInventoryReceived(target_inventory, sent_at)
+        )
 
     def on_connection_lost(self, target, boot):
         """Tell the relay that a connection to a target is lost."""
--- a/savorycross/daemon/serve.py
+++ b/savorycross/daemon/serve.py
@@ -155,6 +155,8 @@
         instance.on_result,
         instance.on_inventory,
         instance.on_connection_lost,
+        instance.relay.count_request,
+        instance.relay.check_interval_s,
     )
 
 
--- a/savorycross/peer/codec.py
+++ b/savorycross/peer/codec.py
@@ -101,6 +101,8 @@
             draining=item.draining,
             stamp=item.stamp,
         )
+        if item.rate_per_s is not None:
+            struct.ratePerS = item.rate_per_s
         holding_structs = struct.init('holdings', len(item.holdings))
         for holding_struct, holding in zip(
             holding_structs, item.holdings, strict=True
@@ -216,6 +218,7 @@
                 draining=item.draining,
                 holdings=tuple(_decode_holding(h) for h in item.holdings),
                 stamp=item.stamp,
+                rate_per_s=item.ratePerS if item.ratePerS >= 0.0 else None,
             )
             for item in frame.inventories
         )
--- a/savorycross/peer/schema.capnp
+++ b/savorycross/peer/schema.capnp
@@ -65,6 +65,8 @@
   draining @3 :Bool;
   holdings @4 :List(Holding);
   stamp @5 :UInt64;
+  # Requests a second that the target takes; below 0 if it states no limit.
+  ratePerS @6 :Float64 = -1;
 }
 
 struct Forward {
--- a/savorycross/plan/inventory.py
+++ b/savorycross/plan/inventory.py
@@ -37,6 +37,8 @@
     :param warm: whether the target's caches are warm.
     :param draining: whether the target takes no new work.
     :param stamp: hybrid logical clock stamp of the report.
+    :param rate_per_s: requests a second that the target takes from all
+        instances together; None if it states no limit.
     """
 
     target: str
@@ -45,6 +47,7 @@
     draining: bool
     holdings: tuple[Holding, ...]
     stamp: int = 0
+    rate_per_s: float | None = None
 
     def total(self, epoch):
         """Return the number of shards under a shard map, or None.
--- a/savorycross/relay/dispatcher.py
+++ b/savorycross/relay/dispatcher.py
@@ -9,6 +9,7 @@
 import itertools
 
 from savorycross.membership import lease
+from savorycross.rate import ownership
 from savorycross.relay import budget
 from savorycross.relay import job as jobs
 from savorycross.relay import queue
@@ -17,6 +18,14 @@
 SLOW_FACTOR = 1.5
 UNANSWERED_FACTOR = 3.0
 COLD_ATTEMPT_S = lease.COLD_ATTEMPT_S
+# Replies with these statuses state the target's rate, or that it has none.
+RATE_STATUSES = frozenset(
+    {jobs.Status.OK, jobs.Status.VERSION_GONE, jobs.Status.CANCELLED}
+)
+# Part of the rate that a target states which is for requests of its inventory,
+# and the longest time between two of them.
+CHECK_PART = 0.1
+MAX_CHECK_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,7 +71,7 @@
     :param extra_budget: the ExtraLoadBudget of this instance.
     :param may_send_cold: callable of a target's name and the time; returns
         whether ownership is certain, so that the target may be sent to in
-        a cold start.
+        a cold start, and at the whole rate that it states.
     :param ids: iterator of attempt ids, unique on this instance.
     """
 
@@ -112,7 +121,9 @@
         pending = _PendingJob(job, queued_at=now)
         if self._is_snapshot_gone(job):
             return [self._finish(pending, jobs.Cause.VERSION_GONE, ran=False)]
-        if self._would_miss_deadline(job, now):
+        if self._would_miss_deadline(job, now) or self._exceeds_rates(
+            job, now
+        ):
             return [self._finish(pending, jobs.Cause.OVERLOADED, ran=False)]
         self._pending_jobs[job.job_id] = pending
         self._queue.push(job)
@@ -130,6 +141,13 @@
             return []
         attempt.pending.attempts.discard(attempt_id)
         attempt.replica.limiter.finish(result, now)
+        if result.status in RATE_STATUSES or result.rate_per_s is not None:
+            attempt.replica.record_rate(
+                result.rate_per_s,
+                attempt.started_at,
+                self._views(attempt.replica, now),
+                now,
+            )
         if result.status is jobs.Status.VERSION_GONE:
             attempt.replica.drop_snapshot(attempt.pending.job)
         self._record_latency(attempt, result, now)
@@ -169,6 +187,46 @@
         """
         return self._dispatch(now)
 
+    def update_inventory(self, item, sent_at, now):
+        """Apply an inventory that a target has sent to this instance.
+
+        :param item: TargetInventory.
+        :param sent_at: runtime clock time at which it was asked for.
+        :returns: list of actions to carry out.
+        """
+        replica = self.replicas[item.target]
+        replica.update_inventory(item)
+        views = self._views(replica, now)
+        replica.record_rate(item.rate_per_s, sent_at, views, now)
+        return self._dispatch(now)
+
+    def adopt_rate(self, replica, rate_per_s, now):
+        """Adopt the rate of a target that a peer has published.
+
+        :param replica: Replica of the target.
+        """
+        replica.adopt_rate(rate_per_s, self._views(replica, now), now)
+
+    def count_request(self, target, now):
+        """Count a request to a target that is not an attempt of a job.
+
+        :param target: name of the target.
+        """
+        replica = self.replicas.get(target)
+        if replica is not None:
+            replica.rate.charge(self._views(replica, now), now)
+
+    def check_interval_s(self, target, now):
+        """Return how long to wait between requests of a target's inventory.
+
+        :returns: seconds; 0 if the target states no limit.
+        """
+        replica = self.replicas.get(target)
+        if replica is None or not replica.rate.is_limited:
+            return 0.0
+        rate_per_s = replica.rate.rate_per_s(self._views(replica, now), now)
+        return min(1.0 / (CHECK_PART * rate_per_s), MAX_CHECK_INTERVAL_S)
+
     def update_targets(self, declared):
         """Replace the declared targets; unchanged ones keep their state.
 
@@ -229,12 +287,22 @@
         return actions
 
     def _set_unblock_timer(self, now):
-        """Set a timer for the end of the earliest pause of a replica."""
+        """Set a timer for the earliest time at which a replica may get work.
+
+        That is the end of its pause, or when its rate allows a request.
+        """
         times = [
             r.limiter.blocked_until()
             for r in self.replicas.values()
             if r.limiter.blocked_until() > now
         ]
+        times += [
+            turn_at
+            for r in self.replicas.values()
+            if r.is_open
+            and (turn_at := r.rate.next_send_at(self._views(r, now), now))
+            > now
+        ]
         if times:
             self._set_timer(min(times), ('unblock', None))
 
@@ -253,7 +321,18 @@
             return None
         return selected
 
-    def _list_eligible(self, job, exclude, now):
+    def _views(self, replica, now):
+        """Return the views that divide the rate of a replica."""
+        if self._may_send_cold(replica.name, now):
+            return ownership.CERTAIN_OWNER
+        return ownership.UNCERTAIN_OWNER
+
+    def _list_eligible(self, job, exclude, now, is_extra=False):
+        """Return the replicas that may get a job now.
+
+        :param is_extra: whether the job is at another replica already; its
+            copies leave tokens for jobs that are at none.
+        """
         eligible = []
         for replica in self.replicas.values():
             if replica.name in exclude or not replica.is_open:
@@ -263,6 +342,10 @@
             is_warm = replica.limiter.is_warm
             if not is_warm and not self._may_send_cold(replica.name, now):
                 continue
+            if replica.rate.is_limited and not replica.rate.may_send(
+                self._views(replica, now), now, keeps_reserve=is_extra
+            ):
+                continue
             eligible.append(replica)
         return eligible
 
@@ -307,6 +390,7 @@
         pending.attempts.add(attempt_id)
         pending.tried = pending.tried | {replica.name}
         replica.limiter.start()
+        replica.rate.take(self._views(replica, now), now)
         replica.last_sent_at = now
         if replica.limiter.is_warm:
             boot, ends_at = replica.limiter.boot, pending.job.deadline
@@ -318,7 +402,9 @@
         """Send a copy of a job to a replica that has been idle for long."""
         if not pending.job.repeatable or not self._policy.probes:
             return []
-        for replica in self._list_eligible(pending.job, pending.tried, now):
+        for replica in self._list_eligible(
+            pending.job, pending.tried, now, is_extra=True
+        ):
             if not replica.is_due_for_probe(now):
                 continue
             purpose = budget.Purpose.WARMING
@@ -333,7 +419,9 @@
         pending = self._pending_jobs.get(job_id)
         if pending is None or pending.is_finished or pending.is_queued:
             return []
-        eligible = self._list_eligible(pending.job, pending.tried, now)
+        eligible = self._list_eligible(
+            pending.job, pending.tried, now, is_extra=True
+        )
         if not eligible or not self._budget.try_withdraw(budget.Purpose.HEDGE):
             return []
         return [
@@ -364,6 +452,8 @@
             return [self._finish(pending, jobs.Cause.VERSION_GONE, ran=False)]
         if now >= pending.job.deadline:
             return [self._finish(pending, jobs.Cause.DEADLINE, ran=False)]
+        if self._exceeds_rates(pending.job, now):
+            return [self._finish(pending, jobs.Cause.OVERLOADED, ran=False)]
         was_sent = result.status is not jobs.Status.UNSENT
         if was_sent and not self._budget.try_withdraw(budget.Purpose.RETRY):
             is_gone = result.status is jobs.Status.VERSION_GONE
@@ -426,6 +516,22 @@
         ahead = self._queue.count_ahead(job.priority)
         return now + median * (1 + ahead / max(slots, 1)) > job.deadline
 
+    def _exceeds_rates(self, job, now):
+        """Return whether the rates of the targets allow a job too late.
+
+        The jobs ahead in the queue go first.
+        """
+        replicas = [
+            r for r in self.replicas.values() if r.is_open and r.holds(job)
+        ]
+        if not replicas or not all(r.rate.is_limited for r in replicas):
+            return False
+        until = job.deadline - (self._window.percentile_s(50.0) or 0.0)
+        tokens = sum(
+            r.rate.expect(self._views(r, now), until, now) for r in replicas
+        )
+        return tokens < self._queue.count_ahead(job.priority) + 1
+
     def _record_latency(self, attempt, result, now):
         elapsed = now - attempt.started_at
         if result.status is jobs.Status.OK:
--- a/savorycross/relay/inbox.py
+++ b/savorycross/relay/inbox.py
@@ -39,9 +39,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetInventoryReceived:
-    """A target has sent its inventory to this instance."""
+    """A target has sent its inventory to this instance.
+
+    :param sent_at: runtime clock time at which it was asked for.
+    """
 
     inventory: inventory.TargetInventory
+    sent_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorycross/relay/job.py
+++ b/savorycross/relay/job.py
@@ -74,12 +74,15 @@
     :param boot: identity of the target's process; empty if not stated.
     :param warm: whether the target says that it is warm; None if not
         stated.
+    :param rate_per_s: requests a second that the target takes from all
+        instances together; None if it states no limit.
     """
 
     status: Status
     body: bytes = b''
     boot: str = ''
     warm: bool | None = None
+    rate_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorycross/relay/relay.py
+++ b/savorycross/relay/relay.py
@@ -76,6 +76,25 @@
         """Return all dispatchers, for status reports."""
         return list(self._dispatchers.values())
 
+    def count_request(self, target):
+        """Count a request to a target that is not an attempt of a job.
+
+        :param target: name of the target.
+        """
+        dispatcher = self._dispatchers.get(self._set_of_target.get(target))
+        if dispatcher is not None:
+            dispatcher.count_request(target, trio.current_time())
+
+    def check_interval_s(self, target):
+        """Return how long to wait between requests of a target's inventory.
+
+        :returns: seconds; 0 if the target states no limit.
+        """
+        dispatcher = self._dispatchers.get(self._set_of_target.get(target))
+        if dispatcher is None:
+            return 0.0
+        return dispatcher.check_interval_s(target, trio.current_time())
+
     def has_unowned_attempts(self):
         """Return whether attempts at targets of other owners are in flight."""
         return any(
@@ -256,13 +275,13 @@
         for replica in dispatcher.replicas.values():
             self._set_of_target[replica.name] = name
             replica.state = self._state_of(replica.name)
-            self._adopt_inventory(replica)
+            self._adopt_inventory(dispatcher, replica)
         return dispatcher
 
     def _state_of(self, name):
         return self._assignment.states.get(name, states.State.OUT)
 
-    def _adopt_inventory(self, replica):
+    def _adopt_inventory(self, dispatcher, replica):
         """Apply the inventory of a target that peers have published.
 
         A target that its former owner reports as warm counts as warm here
@@ -272,6 +291,8 @@
         if published is None:
             return
         replica.update_inventory(published)
+        now = trio.current_time()
+        dispatcher.adopt_rate(replica, published.rate_per_s, now)
         if published.warm and not replica.limiter.is_warm:
             replica.limiter.adopt_warm(
                 published.boot, replica.limiter.cold_slots
@@ -306,8 +327,9 @@
         dispatcher = self._dispatchers.get(name)
         if dispatcher is None:
             return []
-        dispatcher.replicas[item.target].update_inventory(item)
-        return self._register(name, dispatcher.dispatch_queued(now))
+        return self._register(
+            name, dispatcher.update_inventory(item, message.sent_at, now)
+        )
 
     def _on_peer_inventory(self, message, now):
         """Apply a peer's inventory to a target of unknown phase."""
@@ -318,7 +340,7 @@
         replica = dispatcher.replicas[message.target]
         if replica.limiter.phase is not limiter.Phase.UNKNOWN:
             return []
-        self._adopt_inventory(replica)
+        self._adopt_inventory(dispatcher, replica)
         return self._register(name, dispatcher.dispatch_queued(now))
 
     def _on_connection_lost(self, message, now):
@@ -369,7 +391,7 @@
             self._open_dispatcher(name)
             return
         for replica in dispatcher.replicas.values():
-            self._adopt_inventory(replica)
+            self._adopt_inventory(dispatcher, replica)
 
     def _relinquish(self, name):
         dispatcher = self._dispatchers.get(name)
@@ -446,15 +468,18 @@
             or dispatcher.name not in self._assignment.owned
         ):
             return
+        now = trio.current_time()
         for replica in dispatcher.replicas.values():
             if not replica.limiter.boot:
                 continue
+            replica.rate.is_due_to_tell(now)
             current = inventory.TargetInventory(
                 target=replica.name,
                 boot=replica.limiter.boot,
                 warm=replica.limiter.is_warm,
                 draining=replica.draining,
                 holdings=replica.stated_holdings,
+                rate_per_s=replica.rate.told_per_s,
             )
             if self._published.get(replica.name) != current:
                 self._publish_inventory(replica, current)
--- a/savorycross/relay/replica.py
+++ b/savorycross/relay/replica.py
@@ -1,6 +1,9 @@
 """State of one target, kept by the dispatcher of its replica set."""
 
 from savorycross.catalogue import state
+from savorycross.rate import limiter as rate_limiter
+from savorycross.rate import ownership
+from savorycross.rate import statement
 from savorycross.relay import latency
 from savorycross.relay import limiter
 
@@ -12,6 +15,8 @@
     """Tracks the limits, latency, holdings and availability of a target.
 
     :param target: the declared Target.
+    ``rate`` is the RateLimiter of all requests to the target.
+
     :param share: number of instances among which its slots are divided.
     """
 
@@ -20,6 +25,9 @@
         self.name = target.name
         slots = max(1, target.slots // share)
         self.limiter = limiter.ConcurrencyLimiter(slots, target.cold_slots)
+        self.rate = rate_limiter.RateLimiter(
+            target.name, 0.0, ownership.divide
+        )
         self.latency = latency.Ewma()
         self.state = state.State.OPEN
         self.draining = False
@@ -74,6 +82,24 @@
             for h in inventory.holdings
         }
 
+    def record_rate(self, rate_per_s, sent_at, views, now):
+        """Record what a reply of the target says about its rate.
+
+        :param rate_per_s: requests a second that the target takes, or None.
+        :param sent_at: runtime clock time at which the request was sent.
+        :param views: CERTAIN_OWNER or UNCERTAIN_OWNER.
+        """
+        stated = self.rate.statement.update(rate_per_s, sent_at, now)
+        self.rate.record(stated, views, now)
+
+    def adopt_rate(self, rate_per_s, views, now):
+        """Adopt a limit that a peer has published, if no reply told one.
+
+        The next reply of the target replaces it.
+        """
+        if rate_per_s is not None and not self.rate.is_limited:
+            self.rate.record(statement.Statement(rate_per_s), views, now)
+
     def is_due_for_probe(self, now):
         """Return whether the target has been idle for long.
 
--- a/savorycross/target/client.py
+++ b/savorycross/target/client.py
@@ -56,7 +56,8 @@
         with self._scope:
             while True:
                 await self._poll()
-                await trio.sleep(POLL_INTERVAL_S)
+                interval_s = self._client.check_interval_s(self.target.name)
+                await trio.sleep(max(interval_s, POLL_INTERVAL_S))
 
     def close(self):
         """Stop polling and close the idle and the control connections."""
@@ -159,6 +160,7 @@
         )
         exchange = connection.Exchange(key=key, context=context)
         deadline = trio.current_time() + POLL_TIMEOUT_S
+        self._client.on_request(self.target.name)
         await conn.send(exchange, data, deadline)
 
     def _on_reply(self, conn, exchange):
@@ -174,7 +176,7 @@
         if result.boot and result.boot != conn.boot:
             conn.is_open = False
         if result.status is job.Status.VERSION_GONE:
-            self._report_inventory(exchange.body)
+            self._report_inventory(exchange)
         self._client.on_result(attempt_id, result)
         self._release(conn)
 
@@ -198,25 +200,28 @@
         """
         if exchange.code != 200:
             return False
-        inventory = self._report_inventory(exchange.body)
+        inventory = self._report_inventory(exchange)
         if inventory is None:
             return False
         conn.boot = inventory.boot
         return True
 
-    def _report_inventory(self, body):
-        """Report the inventory in a body and return it.
+    def _report_inventory(self, exchange):
+        """Report the inventory in a reply and return it.
 
         :returns: the TargetInventory, or None if the body is not a valid
             inventory.
         """
         try:
             inventory = messages.decode_inventory(
-                self.target.name, body, self._client.next_stamp()
+                self.target.name,
+                exchange.headers,
+                exchange.body,
+                self._client.next_stamp(),
             )
         except ValueError:
             return None
-        self._client.on_inventory(inventory)
+        self._client.on_inventory(inventory, exchange.sent_at)
         return inventory
 
     def _release(self, conn):
@@ -289,6 +294,7 @@
         key = _find_header(data, messages.ATTEMPT_HEADER)
         exchange = connection.Exchange(key=key, context=None)
         deadline = trio.current_time() + POLL_TIMEOUT_S
+        self._client.on_request(self.target.name)
         await conn.send(exchange, data, deadline)
 
 
@@ -306,10 +312,15 @@
     :param clock: HybridClock for the stamps of inventories.
     :param nursery: nursery for the tasks of all connections.
     :param on_result: called with an attempt id and an AttemptResult.
-    :param on_inventory: called with a TargetInventory.
+    :param on_inventory: called with a TargetInventory and the runtime clock
+        time at which it was asked for.
     :param on_connection_lost: called with a target's name and the boot
         identity of the process that was connected; the identity is empty
         if it is unknown.
+    :param on_request: called with a target's name before a request that is
+        not an attempt: of its inventory, or a cancellation.
+    :param check_interval_s: callable of a target's name; returns the seconds
+        to wait at least between requests of its inventory.
     """
 
     def __init__(
@@ -320,10 +331,14 @@
         on_result,
         on_inventory,
         on_connection_lost,
+        on_request,
+        check_interval_s,
     ):
         self.on_result = on_result
         self.on_inventory = on_inventory
         self.on_connection_lost = on_connection_lost
+        self.on_request = on_request
+        self.check_interval_s = check_interval_s
         self._attempt_prefix = instance.encode()
         self._clock = clock
         self._nursery = nursery
--- a/savorycross/target/connection.py
+++ b/savorycross/target/connection.py
@@ -20,12 +20,14 @@
     :param key: value of the request's attempt header, which the reply must
         echo.
     :param context: whatever the sender associates with the request.
+    :param sent_at: runtime clock time at which the request was sent.
     :param code: HTTP status code of the reply; 0 until it is complete.
     :param headers: headers of the reply by lower-case name, as bytes.
     """
 
     key: bytes
     context: object
+    sent_at: float = 0.0
     code: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
     body: bytes = b''
@@ -66,6 +68,7 @@
             connection is closed if the reply is not complete.
         """
         self._pending = exchange
+        exchange.sent_at = trio.current_time()
         self._scope.deadline = deadline
         try:
             await self._stream.send_all(data)
--- a/savorycross/target/messages.py
+++ b/savorycross/target/messages.py
@@ -3,11 +3,14 @@
 import msgspec
 
 from savorycross.plan import inventory
+from savorycross.rate import statement
 from savorycross.relay import job
 
 ATTEMPT_HEADER = b'x-attempt'
 BOOT_HEADER = b'x-boot'
 PHASE_HEADER = b'x-phase'
+# Requests a second that the target takes from all instances together.
+RATE_HEADER = b'x-rate-limit'
 
 _STATUS_BY_CODE = {
     200: job.Status.OK,
@@ -48,10 +51,11 @@
 _inventory_decoder = msgspec.json.Decoder(InventoryBody)
 
 
-def decode_inventory(target, data, stamp):
-    """Return the TargetInventory in the body of a reply.
+def decode_inventory(target, headers, data, stamp):
+    """Return the TargetInventory in a reply.
 
     :param target: name of the target.
+    :param headers: headers by lower-case name, as bytes.
     :param data: the body as bytes.
     :param stamp: hybrid clock stamp of the observation.
     :raises ValueError: if the body is not a valid inventory.
@@ -64,7 +68,13 @@
         for h in body.holdings
     )
     return inventory.TargetInventory(
-        target, body.boot, body.warm, body.draining, holdings, stamp
+        target,
+        body.boot,
+        body.warm,
+        body.draining,
+        holdings,
+        stamp,
+        statement.parse_rate(headers.get(RATE_HEADER)),
     )
 
 
@@ -112,4 +122,5 @@
         body=body,
         boot=headers.get(BOOT_HEADER, b'').decode('latin-1'),
         warm=None if phase is None else phase == b'warm',
+        rate_per_s=statement.parse_rate(headers.get(RATE_HEADER)),
     )
--- a/savorycross/target/protocol.py
+++ b/savorycross/target/protocol.py
@@ -10,7 +10,8 @@
 
     Each attempt ends in exactly one call of ``on_result`` with its id and a
     job.AttemptResult; each inventory that a target reports is passed to
-    ``on_inventory``.
+    ``on_inventory``. Requests that are not attempts are counted with
+    ``Relay.count_request``, and no more often than its ``check_interval_s``.
     """
 
     async def send(self, action: job.Send) -> None:
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -186,6 +186,8 @@
         """Ask the target to stop an attempt."""
         await trio.lowlevel.checkpoint()
         model = self._fabric.targets[action.target]
+        self._instance.relay.count_request(action.target)
+        model.count_request()
         attempt_key = self._attempt_key(action.attempt_id)
         self._fabric.delayed_calls.post(
             NETWORK_DELAY_S, model.cancel, attempt_key
@@ -206,8 +208,9 @@
             while True:
                 await trio.sleep(2 * NETWORK_DELAY_S)
                 if self._can_reach(name):
-                    self._report_inventory(name)
-                await trio.sleep(POLL_INTERVAL_S)
+                    self._request_inventory(name)
+                interval_s = self._instance.relay.check_interval_s(name)
+                await trio.sleep(max(interval_s, POLL_INTERVAL_S))
 
     def _can_reach(self, name):
         frozen = self._fabric.targets[name].faults.frozen
@@ -215,6 +218,12 @@
             self._instance.own.name, name
         )
 
+    def _request_inventory(self, name):
+        """Ask a target for its inventory and give it to the instance."""
+        self._instance.relay.count_request(name)
+        self._fabric.targets[name].count_request()
+        self._report_inventory(name)
+
     def _report_inventory(self, name):
         """Give the instance the inventory of a target."""
         model = self._fabric.targets[name]
@@ -230,7 +239,9 @@
                 model.draining,
                 holdings,
                 self._instance.clock.tick(),
-            )
+                model.rate_per_s,
+            ),
+            trio.current_time() - 2 * NETWORK_DELAY_S,
         )
 
     async def _attempt(self, action):
@@ -255,6 +266,7 @@
         await trio.sleep(NETWORK_DELAY_S)
         if connection.boot != model.boot:
             return _LOST
+        model.count_request()
         answer = await self._request(model, action, remaining_s)
         await trio.sleep(NETWORK_DELAY_S)
         own_name = self._instance.own.name
@@ -266,7 +278,11 @@
         if name in self._idle_connections and connection.boot == model.boot:
             self._idle_connections[name].append(connection)
         return jobs.AttemptResult(
-            _STATUS[answer.code], answer.body, connection.boot, model.warm
+            _STATUS[answer.code],
+            answer.body,
+            connection.boot,
+            model.warm,
+            model.rate_per_s,
         )
 
     async def _connect(self, name, action):
@@ -280,7 +296,7 @@
         if not self._can_reach(name):
             return None
         model = self._fabric.targets[name]
-        self._report_inventory(name)
+        self._request_inventory(name)
         if action.boot and model.boot != action.boot:
             return None
         return _Connection(model.boot)
--- a/standins/fleet/fleet.py
+++ b/standins/fleet/fleet.py
@@ -1,6 +1,5 @@
 """Runs a load pattern on a modelled fleet."""
 
-import bisect
 import random
 
 from savorycross.discovery import target as discovered
@@ -16,19 +15,13 @@
 from standins.fleet import scheduler
 from standins.fleet import target as targets
 from standins.fleet import variant as variants
+from standins import stated_rate
 
 REFRESH_INTERVAL_S = 0.5
 # Time until an instance that ended leaves the list.
 DETECTION_S = 1.7
 # One way between two instances.
 PEER_DELAY_S = 0.001
-# The bound on requests to a target that states a limit: in any window as many
-# as the limit allows, times the overage, and the slack; from the time on by
-# which all instances have learned of it.
-LIMIT_LEARNING_S = 4.0
-LIMIT_WINDOW_S = 4.0
-LIMIT_OVERAGE = 1.5
-LIMIT_SLACK = 5.0
 
 
 class Fleet:
@@ -380,27 +373,23 @@
         return most
 
     def _limited_ratios(self):
-        """Yield ratios of arrivals in a window to the bound on them.
-
-        The bound applies once instances had time to learn of the limit.
-        """
+        """Yield, for each limited target, its worst ratio to the bound."""
         for id_, event in self._limited_periods:
-            bound = LIMIT_OVERAGE * LIMIT_WINDOW_S * event.factor + LIMIT_SLACK
-            since = event.at_s + LIMIT_LEARNING_S
-            arrivals = self.targets[id_].arrivals
-            for start in [t for t in arrivals if t >= since]:
-                if start + LIMIT_WINDOW_S <= event.at_s + event.for_s:
-                    end = start + LIMIT_WINDOW_S
-                    yield _count_between(arrivals, start, end) / bound
+            yield stated_rate.worst_ratio(
+                self.targets[id_].arrivals,
+                event.factor,
+                event.at_s,
+                event.at_s + event.for_s,
+            )
 
     def _measure_limit_use(self):
         """Return the arrivals at limited targets as a part of their limits."""
         allowed = arrived = 0.0
         for id_, event in self._limited_periods:
-            since = event.at_s + LIMIT_LEARNING_S
+            since = event.at_s + stated_rate.LEARNING_S
             until = event.at_s + event.for_s
             arrivals = self.targets[id_].arrivals
-            arrived += _count_between(arrivals, since, until)
+            arrived += stated_rate.count_between(arrivals, since, until)
             allowed += event.factor * (until - since)
         return arrived / allowed if allowed else 0.0
 
@@ -416,13 +405,11 @@
             arrived = sorted(arrivals[name])
             for start in range(int(self.pattern.duration_s) + 1):
                 until = start + instances.WINDOW_S
-                wanted = _count_between(requested, start, until)
-                extra = _count_between(arrived, start, until) - wanted
+                wanted = stated_rate.count_between(requested, start, until)
+                extra = (
+                    stated_rate.count_between(arrived, start, until) - wanted
+                )
                 bound = self.pattern.extra_ratio * wanted
                 bound += self.pattern.extra_slack
                 worst = max(worst, extra / bound)
         return worst
-
-
-def _count_between(times, since, until):
-    return bisect.bisect_left(times, until) - bisect.bisect_left(times, since)
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -42,6 +42,7 @@
 
     async def _handle(self, request):
         model = self.model
+        model.count_request()
         attempt = request.headers.get(b'x-attempt', b'')
         if request.path == '/v1/inventory':
             body = json.dumps(model.inventory()).encode()
@@ -72,6 +73,8 @@
             b'x-boot': self.model.boot.encode(),
             b'x-phase': b'warm' if self.model.warm else b'cold',
         }
+        if self.model.rate_per_s is not None:
+            headers[b'x-rate-limit'] = b'%.3f' % self.model.rate_per_s
         return http_server.Response(code, body, headers)
 
 
@@ -106,6 +109,8 @@
                 getattr(model, name)()
             elif name in ('drain', 'undrain'):
                 model.draining = name == 'drain'
+        if 'rate_per_s' in command:
+            model.state_rate(command['rate_per_s'])
         if 'split' in command:
             model.split(**command['split'])
         if 'versions' in command:
@@ -114,7 +119,11 @@
     def _record(self):
         report = {
             name: dataclasses.asdict(s.model.record)
-            | {'warm': s.model.warm, 'boot': s.model.boot}
+            | {
+                'warm': s.model.warm,
+                'boot': s.model.boot,
+                'worst_rate_ratio': s.model.worst_rate_ratio(),
+            }
             for name, s in self._servers.items()
         }
         for item in report.values():
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -27,7 +27,10 @@
     ),
     messages.CancelPart(9),
     messages.Inventories(
-        (inventory.TargetInventory('t', 'b', True, False, (HOLDING,), 8),)
+        (
+            inventory.TargetInventory('t', 'b', True, False, (HOLDING,), 8),
+            inventory.TargetInventory('u', 'b', True, False, (), 9, 4.5),
+        )
     ),
     messages.Forward(1, 'r', 't', 'w', 'k', 5.5, b'1'),
     messages.Reply(1, 'not_run', 'text', b''),
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -175,3 +175,27 @@
     assert counts[('query', '')] > 200
     assert_bookings_match(running_deployment, callers)
     assert_cold_limits_hold(running_deployment)
+
+
+async def test_stated_rates_hold_while_owners_are_killed_and_frozen(
+    running_deployment,
+):
+    callers = bench_callers.Callers(running_deployment.entries)
+
+    async def inject_faults():
+        running_deployment.control_targets(rate_per_s=9.0)
+        await trio.sleep(4)
+        running_deployment.signal(0, signal.SIGKILL)
+        await trio.sleep(2)
+        running_deployment.signal(1, signal.SIGSTOP)
+        await trio.sleep(3)
+        running_deployment.signal(1, signal.SIGCONT)
+        await trio.sleep(3)
+
+    await send_load(running_deployment, callers, inject_faults, duration_s=13)
+    _, flaws = count_outcomes(callers)
+    assert not flaws
+    assert_bookings_match(running_deployment, callers)
+    record = running_deployment.record()['targets']
+    ratios = {n: t['worst_rate_ratio'] for n, t in record.items()}
+    assert 0.0 < max(ratios.values()) <= 1.0, ratios
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -44,8 +44,8 @@
         )
         return self.dispatcher.submit(new_job, now)
 
-    def answer(self, send, status=job.Status.OK, now=0.01):
-        result = job.AttemptResult(status, b'[]', 'boot', True)
+    def answer(self, send, status=job.Status.OK, now=0.01, rate_per_s=None):
+        result = job.AttemptResult(status, b'[]', 'boot', True, rate_per_s)
         return self.dispatcher.handle_result(send.attempt_id, result, now)
 
 
@@ -148,3 +148,57 @@
         if isinstance(a, job.Send)
     ]
     assert sent[0].job.job_id == 8
+
+
+def _make_limited_harness(rate_per_s):
+    """Return a Harness whose targets have stated a rate, at 0.01 s."""
+    harness = Harness()
+    for number in (1, 2):
+        harness.submit(number, deadline=9.0)
+    for attempt in list(harness.dispatcher._attempts.values()):
+        send = job.Send(attempt.attempt_id, attempt.replica.name, None)
+        harness.answer(send, rate_per_s=rate_per_s)
+    assert all(r.rate.is_limited for r in harness.dispatcher.replicas.values())
+    return harness
+
+
+def test_job_beyond_the_stated_rates_is_refused_at_once():
+    harness = _make_limited_harness(0.5)
+    (finish,) = harness.submit(3, now=0.02, deadline=1.0)
+    assert (finish.cause, finish.ran) == (job.Cause.OVERLOADED, False)
+
+
+def test_job_waits_for_the_rate_that_a_target_states():
+    harness = _make_limited_harness(2.0)
+    assert harness.submit(3, now=0.02, deadline=2.0) == []
+    assert harness.dispatcher.next_timer_at() <= 0.52
+    actions = harness.dispatcher.run_due_timers(0.52)
+    assert action_names(actions) == ['Send']
+
+
+def test_requests_of_the_inventory_count_toward_the_rate():
+    harness = _make_limited_harness(2.0)
+    for name in harness.dispatcher.replicas:
+        harness.dispatcher.count_request(name, 0.6)
+        assert harness.dispatcher.check_interval_s(name, 0.6) == 5.0
+    assert harness.submit(3, now=0.62, deadline=2.0) == []
+
+
+def test_uncertain_owner_sends_at_a_small_part_of_the_rate():
+    harness = _make_limited_harness(4.0)
+    harness.allows_cold = False
+    sends = 0
+    for number in range(3, 60):
+        actions = harness.submit(number, now=number / 10, deadline=99.0)
+        sends += action_names(actions).count('Send')
+    assert 1 <= sends <= 2 * (1 + 0.4 * 6)
+
+
+def test_refusal_without_a_rate_does_not_end_a_limit():
+    harness = _make_limited_harness(4.0)
+    (send,) = harness.submit(3, now=0.5, deadline=2.0)
+    harness.answer(send, job.Status.REFUSED, now=0.51)
+    assert harness.dispatcher.replicas[send.target].rate.is_limited
+    (send,) = harness.submit(4, now=1.5, deadline=2.0)
+    harness.answer(send, now=1.6)
+    assert not harness.dispatcher.replicas[send.target].rate.is_limited
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -10,6 +10,7 @@
 from savorycross import errors
 from savorycross.sheet import publish
 from standins import fabric as fabrics
+from standins import stated_rate
 from tests import deployments
 from tests.scenarios import scenario_context
 
@@ -100,6 +101,23 @@
     context.fabric.targets[name].faults.frozen = True
 
 
+@step('when', 'target {name} states a limit of {rate:g} requests a second')
+async def _state_rate(context, name, rate):
+    context.fabric.targets[name].state_rate(rate)
+
+
+@step('when', 'the targets of {service} state limits of {rate:g} a second')
+async def _state_rates(context, service, rate):
+    for model in context.fabric.targets.values():
+        if model.service == service:
+            model.state_rate(rate)
+
+
+@step('when', 'target {name} states no limit any more')
+async def _state_no_rate(context, name):
+    context.fabric.targets[name].state_rate(None)
+
+
 @step('when', 'target {name} rejects all requests')
 async def _reject_requests(context, name):
     context.fabric.targets[name].faults.refuse = True
@@ -311,6 +329,30 @@
     assert not overloads
 
 
+@step('then', 'no target got more requests than it states')
+async def _assert_stated_rates(context):
+    targets = context.fabric.targets
+    assert any(t.limited_arrivals for t in targets.values())
+    ratios = {n: t.worst_rate_ratio() for n, t in targets.items()}
+    assert max(ratios.values()) <= 1.0, ratios
+
+
+@step('then', 'target {name} got at least {percent:d} percent of its limit')
+async def _assert_rate_used(context, name, percent):
+    model = context.fabric.targets[name]
+    since = model.limited_at + stated_rate.LEARNING_S
+    allowed = model.rate_per_s * (trio.current_time() - since)
+    used = sum(t >= since for t in model.limited_arrivals)
+    assert used >= percent / 100 * allowed, (used, allowed)
+
+
+@step('then', 'no query since "{label}" took longer than {seconds:g} s')
+async def _assert_answered_early(context, label, seconds):
+    query_results = context.results_since(label)
+    assert query_results
+    assert max(r.duration_s for r in query_results) <= seconds
+
+
 @step('then', 'target {name} is warm')
 async def _assert_warm(context, name):
     assert context.fabric.targets[name].warm
@@ -359,6 +401,14 @@
         raise AssertionError('the outcome is not_run, but a target ran it')
 
 
+@step('then', 'bookings that ran and those the targets ran agree')
+async def _assert_bookings_agree(context):
+    outcomes = [str(o[-1]) for o in context.booking_outcomes.values()]
+    assert set(outcomes) == {'ran', 'not_run'}
+    ran = len(deployments.bookings_run(context.fabric))
+    assert outcomes.count('ran') == ran
+
+
 @step('then', 'all instances use version {version:d}')
 async def _assert_version_in_use(context, version):
     versions = {
--- a/tests/scenarios/test_mutations.py
+++ b/tests/scenarios/test_mutations.py
@@ -1,5 +1,6 @@
 """Each scenario here must fail when its mechanism is disabled."""
 
+import math
 import pathlib
 
 import pytest
@@ -13,8 +14,11 @@
 from savorycross.entry import query_run
 from savorycross.merge import coverage
 from savorycross.merge import merger
+from savorycross.rate import limiter as rate_limiter
+from savorycross.rate import ownership
 from savorycross.relay import job
 from savorycross.relay import limiter
+from savorycross.relay import relay
 from savorycross.relay import replica
 from tests.scenarios import scenario_context
 
@@ -92,6 +96,23 @@
     )
 
 
+def send_at_any_rate(monkeypatch):
+    monkeypatch.setattr(
+        rate_limiter.RateLimiter, 'may_send', lambda *_, **__: True
+    )
+    monkeypatch.setattr(
+        rate_limiter.RateLimiter, 'expect', lambda *_: math.inf
+    )
+
+
+def ask_for_inventories_at_any_rate(monkeypatch):
+    monkeypatch.setattr(relay.Relay, 'check_interval_s', lambda *_: 0.0)
+
+
+def send_at_the_whole_rate_without_ownership(monkeypatch):
+    monkeypatch.setattr(ownership, 'UNCERTAIN_PART', 1.0)
+
+
 MUTATIONS = [
     (
         'p01_one_snapshot',
@@ -134,6 +155,21 @@
         'an instance restarts during the outage',
         ignore_pushes,
     ),
+    (
+        'p11_stated_rates',
+        'one replica states a limit under load',
+        send_at_any_rate,
+    ),
+    (
+        'p11_stated_rates',
+        'idle targets are asked for their inventory within their limits',
+        ask_for_inventories_at_any_rate,
+    ),
+    (
+        'p11_stated_rates',
+        'views differ because an instance is isolated while the store is down',
+        send_at_the_whole_rate_without_ownership,
+    ),
 ]
 
 
