Move what the relay does about stated rates out of the dispatcher

No logic changes but one: an instance that hears a statement tells others of the next change 0.2 s later at the earliest, as after one that it told. The question whether others are to be told has no side effect any more.

--- a/savorycross/rate/limiter.py
+++ b/savorycross/rate/limiter.py
@@ -65,9 +65,10 @@
             self._filled(views, now)
         return True
 
-    def record_told(self):
-        """Record that the other instances know the statement in force."""
+    def record_told(self, now):
+        """Record that the other instances are told of the statement now."""
         self._told_per_s = self.statement.rate_per_s
+        self._tell_at = now + TOLD_INTERVAL_S
 
     @property
     def told_per_s(self):
@@ -75,20 +76,13 @@
         return self._told_per_s
 
     def is_due_to_tell(self, now):
-        """Return whether other instances are to be told of the statement.
-
-        If so, they count as told.
-        """
+        """Return whether other instances are to be told of the statement."""
         stated, told = self.statement.rate_per_s, self._told_per_s
         if stated is None or told is None:
             has_changed = stated is not told
         else:
             has_changed = stated < (1.0 - TOLD_DECREASE) * told
-        if not has_changed or now < self._tell_at:
-            return False
-        self._tell_at = now + TOLD_INTERVAL_S
-        self.record_told()
-        return True
+        return has_changed and now >= self._tell_at
 
     def may_send(self, views, now, keeps_reserve=False):
         """Return whether a send is allowed now.
--- a/savorycross/rate/target_rates.py
+++ b/savorycross/rate/target_rates.py
@@ -145,6 +145,7 @@
         self._adopt(state, stated, now)
         if not state.rate.is_due_to_tell(now):
             return
+        state.rate.record_told(now)
         for name in self._views.shares.senders - {self._own_name}:
             self._send_row(name, state, now)
 
@@ -158,7 +159,7 @@
             stated = row.read_statement(now)
             if stated.sent_at > state.rate.statement.sent_at:
                 self._adopt(state, stated, now)
-                state.rate.record_told()
+                state.rate.record_told(now)
             if message.is_request:
                 lent.append(self._lend(state, row.tokens, now))
             elif state.rate.borrowing.record_reply(
--- a/savorycross/relay/dispatcher.py
+++ b/savorycross/relay/dispatcher.py
@@ -9,23 +9,15 @@
 import itertools
 
 from savorycross.membership import lease
-from savorycross.rate import ownership
 from savorycross.relay import budget
 from savorycross.relay import job as jobs
 from savorycross.relay import queue
 from savorycross.relay import replica as replicas
+from savorycross.relay import stated_rates
 
 SLOW_FACTOR = 1.5
 UNANSWERED_FACTOR = 3.0
 COLD_ATTEMPT_S = lease.COLD_ATTEMPT_S
-# Replies with these statuses state the target's rate, or that it has none.
-RATE_STATUSES = frozenset(
-    {jobs.Status.OK, jobs.Status.VERSION_GONE, jobs.Status.CANCELLED}
-)
-# Part of the rate that a target states which is for requests of its inventory,
-# and the longest time between two of them.
-CHECK_PART = 0.1
-MAX_CHECK_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +77,7 @@
         self._policy = policy
         self._budget = extra_budget
         self._may_send_cold = may_send_cold
+        self._rates = stated_rates.StatedRates(may_send_cold)
         self._ids = ids or itertools.count(1)
         self._queue = queue.JobQueue()
         self._pending_jobs = {}
@@ -141,13 +134,9 @@
             return []
         attempt.pending.attempts.discard(attempt_id)
         attempt.replica.limiter.finish(result, now)
-        if result.status in RATE_STATUSES or result.rate_per_s is not None:
-            attempt.replica.record_rate(
-                result.rate_per_s,
-                attempt.started_at,
-                self._views(attempt.replica, now),
-                now,
-            )
+        self._rates.record_result(
+            attempt.replica, result, attempt.started_at, now
+        )
         if result.status is jobs.Status.VERSION_GONE:
             attempt.replica.drop_snapshot(attempt.pending.job)
         self._record_latency(attempt, result, now)
@@ -196,8 +185,7 @@
         """
         replica = self.replicas[item.target]
         replica.update_inventory(item)
-        views = self._views(replica, now)
-        replica.record_rate(item.rate_per_s, sent_at, views, now)
+        self._rates.record_statement(replica, item.rate_per_s, sent_at, now)
         return self._dispatch(now)
 
     def adopt_rate(self, replica, rate_per_s, now):
@@ -205,7 +193,7 @@
 
         :param replica: Replica of the target.
         """
-        replica.adopt_rate(rate_per_s, self._views(replica, now), now)
+        self._rates.adopt(replica, rate_per_s, now)
 
     def count_request(self, target, now):
         """Count a request to a target that is not an attempt of a job.
@@ -214,7 +202,7 @@
         """
         replica = self.replicas.get(target)
         if replica is not None:
-            replica.rate.charge(self._views(replica, now), now)
+            self._rates.count_request(replica, now)
 
     def check_interval_s(self, target, now):
         """Return how long to wait between requests of a target's inventory.
@@ -222,10 +210,9 @@
         :returns: seconds; 0 if the target states no limit.
         """
         replica = self.replicas.get(target)
-        if replica is None or not replica.rate.is_limited:
+        if replica is None:
             return 0.0
-        rate_per_s = replica.rate.rate_per_s(self._views(replica, now), now)
-        return min(1.0 / (CHECK_PART * rate_per_s), MAX_CHECK_INTERVAL_S)
+        return self._rates.check_interval_s(replica, now)
 
     def update_targets(self, declared):
         """Replace the declared targets; unchanged ones keep their state.
@@ -291,18 +278,13 @@
 
         That is the end of its pause, or when its rate allows a request.
         """
-        times = [
-            r.limiter.blocked_until()
-            for r in self.replicas.values()
-            if r.limiter.blocked_until() > now
-        ]
+        times = [r.limiter.blocked_until() for r in self.replicas.values()]
         times += [
-            turn_at
+            self._rates.next_send_at(r, now)
             for r in self.replicas.values()
             if r.is_open
-            and (turn_at := r.rate.next_send_at(self._views(r, now), now))
-            > now
         ]
+        times = [when for when in times if when > now]
         if times:
             self._set_timer(min(times), ('unblock', None))
 
@@ -321,17 +303,10 @@
             return None
         return selected
 
-    def _views(self, replica, now):
-        """Return the views that divide the rate of a replica."""
-        if self._may_send_cold(replica.name, now):
-            return ownership.CERTAIN_OWNER
-        return ownership.UNCERTAIN_OWNER
-
     def _list_eligible(self, job, exclude, now, is_extra=False):
         """Return the replicas that may get a job now.
 
-        :param is_extra: whether the job is at another replica already; its
-            copies leave tokens for jobs that are at none.
+        :param is_extra: whether the job is at another replica already.
         """
         eligible = []
         for replica in self.replicas.values():
@@ -342,9 +317,7 @@
             is_warm = replica.limiter.is_warm
             if not is_warm and not self._may_send_cold(replica.name, now):
                 continue
-            if replica.rate.is_limited and not replica.rate.may_send(
-                self._views(replica, now), now, keeps_reserve=is_extra
-            ):
+            if not self._rates.may_send(replica, now, is_extra):
                 continue
             eligible.append(replica)
         return eligible
@@ -390,7 +363,7 @@
         pending.attempts.add(attempt_id)
         pending.tried = pending.tried | {replica.name}
         replica.limiter.start()
-        replica.rate.take(self._views(replica, now), now)
+        self._rates.count_attempt(replica, now)
         replica.last_sent_at = now
         if replica.limiter.is_warm:
             boot, ends_at = replica.limiter.boot, pending.job.deadline
@@ -524,13 +497,9 @@
         replicas = [
             r for r in self.replicas.values() if r.is_open and r.holds(job)
         ]
-        if not replicas or not all(r.rate.is_limited for r in replicas):
-            return False
         until = job.deadline - (self._window.percentile_s(50.0) or 0.0)
-        tokens = sum(
-            r.rate.expect(self._views(r, now), until, now) for r in replicas
-        )
-        return tokens < self._queue.count_ahead(job.priority) + 1
+        count = self._queue.count_ahead(job.priority) + 1
+        return not self._rates.allow_in_time(replicas, count, until, now)
 
     def _record_latency(self, attempt, result, now):
         elapsed = now - attempt.started_at
--- a/savorycross/relay/relay.py
+++ b/savorycross/relay/relay.py
@@ -472,7 +472,8 @@
         for replica in dispatcher.replicas.values():
             if not replica.limiter.boot:
                 continue
-            replica.rate.is_due_to_tell(now)
+            if replica.rate.is_due_to_tell(now):
+                replica.rate.record_told(now)
             current = inventory.TargetInventory(
                 target=replica.name,
                 boot=replica.limiter.boot,
