Let backends of the soak state limits, and check what they then get

The stand-ins of both kinds of targets share stated_rate.StatedRate. A backend states 0.5 to 20 requests a second for 8 to 12 s; all requests count, also those of instances that were killed or frozen.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,6 +77,17 @@
         if reply.body != records.merge_records(bodies, TOP_K):
             self.add_violation('mixed', f'{id_}: records')
 
+    def check_rate(self, backend):
+        """Check the requests that a backend got while it stated a limit."""
+        stated = backend.stated_rate
+        ratio = stated.worst_ratio(trio.current_time())
+        if ratio > 1.0:
+            self.add_violation(
+                'limit',
+                f'{backend.id}: {ratio:.2f} of the bound at '
+                f'{stated.rate_per_s:.1f} a second',
+            )
+
     def finish(self):
         """Check the invariants that concern the whole run."""
         self._check_at_most_once()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,7 @@
     'backend_link',
     'backend_fails',
     'backend_mute',
+    'backend_limits',
     'reshard',
 )
 # Planned operations must not interrupt any call.
@@ -173,6 +174,14 @@
         await trio.sleep(self._draw_duration_s())
         backend.lose_share = 0.0
 
+    async def _backend_limits(self):
+        backend = self._choose_backend().backend
+        stated = backend.stated_rate
+        stated.begin(self._rng.uniform(0.5, 20.0), trio.current_time())
+        await trio.sleep(self._rng.uniform(8.0, 12.0))
+        self._testbed.checks.check_rate(backend)
+        stated.begin(None, trio.current_time())
+
     async def _reshard(self):
         self._testbed.reshard()
         await trio.sleep(0.5)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -10,6 +10,7 @@
 
 from savorycross.wire import messages
 from savorycross.wire import server
+from standins import stated_rate
 
 RECORD_COUNT = 8
 
@@ -47,6 +48,8 @@
     :param model: KvModel in which the backend registers itself.
     :param nursery: nursery of the requests.
     :param runs: list to which each Run is appended, shared by all backends.
+    ``stated_rate`` is the StatedRate of all requests to it.
+
     :param rng: random.Random for work times.
     """
 
@@ -58,6 +61,7 @@
         self.work_s = 0.01
         self.fail_share = 0.0
         self.lose_share = 0.0
+        self.stated_rate = stated_rate.StatedRate()
         self.announced_address = None
         self.address = None
         self._model = model
@@ -113,7 +117,11 @@
     async def _answer(self, request, respond, running):
         id_ = (request.header(b'request-id') or b'').decode()
         expected_instance = request.header(b'expect-instance')
+        self.stated_rate.count(trio.current_time())
         headers = ((b'Request-Id', id_.encode()),)
+        rate_per_s = self.stated_rate.rate_per_s
+        if rate_per_s is not None:
+            headers = (*headers, (b'Server-Limit', b'%.3f' % rate_per_s))
         if (
             expected_instance is not None
             and expected_instance != self.id.encode()
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -187,7 +187,7 @@
         await trio.lowlevel.checkpoint()
         model = self._fabric.targets[action.target]
         self._instance.relay.count_request(action.target)
-        model.count_request()
+        model.stated_rate.count(trio.current_time())
         attempt_key = self._attempt_key(action.attempt_id)
         self._fabric.delayed_calls.post(
             NETWORK_DELAY_S, model.cancel, attempt_key
@@ -221,7 +221,7 @@
     def _request_inventory(self, name):
         """Ask a target for its inventory and give it to the instance."""
         self._instance.relay.count_request(name)
-        self._fabric.targets[name].count_request()
+        self._fabric.targets[name].stated_rate.count(trio.current_time())
         self._report_inventory(name)
 
     def _report_inventory(self, name):
@@ -239,7 +239,7 @@
                 model.draining,
                 holdings,
                 self._instance.clock.tick(),
-                model.rate_per_s,
+                model.stated_rate.rate_per_s,
             ),
             trio.current_time() - 2 * NETWORK_DELAY_S,
         )
@@ -266,7 +266,7 @@
         await trio.sleep(NETWORK_DELAY_S)
         if connection.boot != model.boot:
             return _LOST
-        model.count_request()
+        model.stated_rate.count(trio.current_time())
         answer = await self._request(model, action, remaining_s)
         await trio.sleep(NETWORK_DELAY_S)
         own_name = self._instance.own.name
@@ -282,7 +282,7 @@
             answer.body,
             connection.boot,
             model.warm,
-            model.rate_per_s,
+            model.stated_rate.rate_per_s,
         )
 
     async def _connect(self, name, action):
--- a/standins/stated_rate.py
+++ b/standins/stated_rate.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import math
 
 LEARNING_S = 4.0
 WINDOW_S = 4.0
@@ -13,6 +14,36 @@
 SLACK = 5.0
 
 
+class StatedRate:
+    """The limit that a stand-in of a target states, and what it then gets.
+
+    ``rate_per_s`` is the limit of requests a second, or None; ``arrivals``
+    holds the time of each request since ``since``, when it began.
+    """
+
+    def __init__(self):
+        self.rate_per_s = None
+        self.since = math.inf
+        self.arrivals = []
+
+    def begin(self, rate_per_s, now):
+        """State a limit of requests a second, or none, from now on."""
+        self.rate_per_s = rate_per_s
+        self.since = now
+        self.arrivals = []
+
+    def count(self, now):
+        """Count a request of any kind, while a limit is stated."""
+        if self.rate_per_s is not None:
+            self.arrivals.append(now)
+
+    def worst_ratio(self, now):
+        """Return the largest ratio of requests to the bound on them."""
+        if self.rate_per_s is None:
+            return 0.0
+        return worst_ratio(self.arrivals, self.rate_per_s, self.since, now)
+
+
 def worst_ratio(arrivals, rate_per_s, since, until):
     """Return the largest ratio of requests in a window to the bound.
 
--- a/standins/target_model.py
+++ b/standins/target_model.py
@@ -98,9 +98,7 @@
     :param timing: Timing.
     :param holdings: dict of (version, epoch) to (total, shards): the number
         of shards of the map and the numbers of the shards held.
-    ``rate_per_s`` is the limit of requests a second that it states, or None;
-    ``limited_arrivals`` holds the time of each request since ``limited_at``,
-    when it first stated it.
+    ``stated_rate`` is the StatedRate of all requests to it.
 
     :param seed: seed of the service times.
     """
@@ -120,9 +118,7 @@
         self.draining = False
         self.in_flight = 0
         self.boot = ''
-        self.rate_per_s = None
-        self.limited_at = math.inf
-        self.limited_arrivals = []
+        self.stated_rate = stated_rate.StatedRate()
         self._boots = itertools.count(1)
         self._rng = random.Random(f'{name}/{seed}')
         self._answers_since_cold = 0
@@ -137,29 +133,6 @@
         self._generation = object()
         self.in_flight = 0
 
-    def state_rate(self, rate_per_s):
-        """State a limit of requests a second, or none, from now on."""
-        self.rate_per_s = rate_per_s
-        self.limited_at = trio.current_time()
-        self.limited_arrivals = []
-
-    def count_request(self):
-        """Count a request of any kind, while a limit is stated."""
-        if self.rate_per_s is None:
-            return
-        self.limited_arrivals.append(trio.current_time())
-
-    def worst_rate_ratio(self):
-        """Return the largest ratio of requests to the bound on them."""
-        if self.rate_per_s is None:
-            return 0.0
-        return stated_rate.worst_ratio(
-            self.limited_arrivals,
-            self.rate_per_s,
-            self.limited_at,
-            trio.current_time(),
-        )
-
     def fall_cold(self):
         """Lose the caches."""
         self.warm = False
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -42,7 +42,7 @@
 
     async def _handle(self, request):
         model = self.model
-        model.count_request()
+        model.stated_rate.count(trio.current_time())
         attempt = request.headers.get(b'x-attempt', b'')
         if request.path == '/v1/inventory':
             body = json.dumps(model.inventory()).encode()
@@ -73,8 +73,9 @@
             b'x-boot': self.model.boot.encode(),
             b'x-phase': b'warm' if self.model.warm else b'cold',
         }
-        if self.model.rate_per_s is not None:
-            headers[b'x-rate-limit'] = b'%.3f' % self.model.rate_per_s
+        rate_per_s = self.model.stated_rate.rate_per_s
+        if rate_per_s is not None:
+            headers[b'x-rate-limit'] = b'%.3f' % rate_per_s
         return http_server.Response(code, body, headers)
 
 
@@ -110,7 +111,7 @@
             elif name in ('drain', 'undrain'):
                 model.draining = name == 'drain'
         if 'rate_per_s' in command:
-            model.state_rate(command['rate_per_s'])
+            model.stated_rate.begin(command['rate_per_s'], trio.current_time())
         if 'split' in command:
             model.split(**command['split'])
         if 'versions' in command:
@@ -122,7 +123,9 @@
             | {
                 'warm': s.model.warm,
                 'boot': s.model.boot,
-                'worst_rate_ratio': s.model.worst_rate_ratio(),
+                'worst_rate_ratio': s.model.stated_rate.worst_ratio(
+                    trio.current_time()
+                ),
             }
             for name, s in self._servers.items()
         }
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -101,21 +101,25 @@
     context.fabric.targets[name].faults.frozen = True
 
 
+def _begin_rate(model, rate_per_s):
+    model.stated_rate.begin(rate_per_s, trio.current_time())
+
+
 @step('when', 'target {name} states a limit of {rate:g} requests a second')
 async def _state_rate(context, name, rate):
-    context.fabric.targets[name].state_rate(rate)
+    _begin_rate(context.fabric.targets[name], rate)
 
 
 @step('when', 'the targets of {service} state limits of {rate:g} a second')
 async def _state_rates(context, service, rate):
     for model in context.fabric.targets.values():
         if model.service == service:
-            model.state_rate(rate)
+            _begin_rate(model, rate)
 
 
 @step('when', 'target {name} states no limit any more')
 async def _state_no_rate(context, name):
-    context.fabric.targets[name].state_rate(None)
+    _begin_rate(context.fabric.targets[name], None)
 
 
 @step('when', 'target {name} rejects all requests')
@@ -331,18 +335,19 @@
 
 @step('then', 'no target got more requests than it states')
 async def _assert_stated_rates(context):
-    targets = context.fabric.targets
-    assert any(t.limited_arrivals for t in targets.values())
-    ratios = {n: t.worst_rate_ratio() for n, t in targets.items()}
+    rates = {n: t.stated_rate for n, t in context.fabric.targets.items()}
+    assert any(r.arrivals for r in rates.values())
+    now = trio.current_time()
+    ratios = {n: r.worst_ratio(now) for n, r in rates.items()}
     assert max(ratios.values()) <= 1.0, ratios
 
 
 @step('then', 'target {name} got at least {percent:d} percent of its limit')
 async def _assert_rate_used(context, name, percent):
-    model = context.fabric.targets[name]
-    since = model.limited_at + stated_rate.LEARNING_S
-    allowed = model.rate_per_s * (trio.current_time() - since)
-    used = sum(t >= since for t in model.limited_arrivals)
+    stated = context.fabric.targets[name].stated_rate
+    since = stated.since + stated_rate.LEARNING_S
+    allowed = stated.rate_per_s * (trio.current_time() - since)
+    used = sum(t >= since for t in stated.arrivals)
     assert used >= percent / 100 * allowed, (used, allowed)
 
 
