Keep the limit of a target whose entry in the store lapsed

What callers saw: nothing; a target in need that states 1 request a second may get as many as it has room for, from each instance, when its entry is back.

Cause: the limiter belongs to the state of the target, which ends with its entry. Entries lapse while the store is away, though the target is alive and the instances have passed on its limit before.

Change: the registry keeps the limiter of a removed target for a minute; the same incarnation gets it back, a new one does not.

Evidence: tests/rate/test_limiter.py, the test of lapsed entries fails for the same incarnation without the restored limiter, and passes now.

--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -1,13 +1,34 @@
 """The registry of targets, as discovery and operators declare them."""
 
+import dataclasses
+
+from savorycross.discovery import target as targets
 from savorycross.forward import target_state
+from savorycross.rate import limiter
+
+# The entry of a live target that lapsed while the store was away is back
+# within this time.
+RATE_RETENTION_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RemovedRate:
+    """The RateLimiter of a removed target.
+
+    :param removed_at: runtime clock time in seconds.
+    """
+
+    target: targets.Target
+    rate: limiter.RateLimiter
+    removed_at: float
 
 
 class TargetRegistry:
     """Known targets by id and by service.
 
     A target may get work unless it is draining or its data centre is
-    evacuated, which means that operators have taken it out of use.
+    evacuated, which means that operators have taken it out of use. A target
+    that was removed and is declared again keeps its RateLimiter.
 
     :param make_pool: callable that takes an address and returns a Pool.
     :param log: EventLog.
@@ -18,6 +39,7 @@
         self._log = log
         self._by_id = {}
         self._by_service = {}
+        self._removed_rates = {}
         self._evacuated = set()
         self._services = {}
         self._shares = None
@@ -81,7 +103,10 @@
             if current is not None:
                 self._drop(current)
             state = target_state.TargetState(
-                target, self._make_pool(target.address), now
+                target,
+                self._make_pool(target.address),
+                now,
+                self._restore_rate(target),
             )
             self._by_id[target.id] = state
             self._by_service.setdefault(target.service, []).append(state)
@@ -103,11 +128,18 @@
             )
         current.target = target
 
-    def remove(self, target_id):
-        """Remove a target, if it is known, and close its idle connections."""
+    def remove(self, target_id, now):
+        """Remove a target, if it is known, and close its idle connections.
+
+        :param now: runtime clock time in seconds.
+        """
         removed = self._by_id.pop(target_id, None)
         if removed is not None:
             self._drop(removed)
+            if removed.rate.is_limited:
+                self._removed_rates[target_id] = _RemovedRate(
+                    removed.target, removed.rate, now
+                )
             self._log.event(
                 'target.gone', target=target_id, service=removed.target.service
             )
@@ -132,9 +164,14 @@
         )
 
     def prune(self, now):
-        """Close connections that have been idle for too long."""
+        """Close idle connections and drop old rates of removed targets."""
         for state in self._by_id.values():
             state.pool.prune(now)
+        self._removed_rates = {
+            id_: removed
+            for id_, removed in self._removed_rates.items()
+            if now - removed.removed_at < RATE_RETENTION_S
+        }
 
     def close_idle(self):
         """Close all idle connections."""
@@ -148,6 +185,13 @@
             del self._by_service[state.target.service]
         state.pool.close()
 
+    def _restore_rate(self, target):
+        """Return the RateLimiter that a target had before, or None."""
+        removed = self._removed_rates.pop(target.id, None)
+        if removed is None or _is_new_incarnation(removed.target, target):
+            return None
+        return removed.rate
+
     def _extend_cold_period(self, state, now):
         service = self._services.get(state.target.service)
         service_cold_s = service.cold_s if service is not None else 0.0
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -45,9 +45,10 @@
     :param target: Target.
     :param pool: Pool of its connections.
     :param now: runtime clock time in seconds.
+    :param rate: RateLimiter that it had before, or None.
     """
 
-    def __init__(self, target, pool, now):
+    def __init__(self, target, pool, now, rate=None):
         self.target = target
         self.pool = pool
         self.outstanding = {}
@@ -63,7 +64,7 @@
         self._failure_rate = 0.0
         self._outcome_at = now
         self._cold_sends = []
-        self.rate = limiter.RateLimiter(target.id, now)
+        self.rate = rate or limiter.RateLimiter(target.id, now)
 
     def relative_latency(self, now):
         """Return the relative latency, which decays toward 1 when idle."""
--- a/savorycross/gateway/store_changes.py
+++ b/savorycross/gateway/store_changes.py
@@ -60,17 +60,20 @@
 
     def _apply_target(self, key, item):
         if item is None:
-            self._target_registry.remove(self._keys.target_id(key))
+            self._remove_target(key)
             return
         try:
             target = self._keys.decode_target(key, item.value)
         except ValueError as exc:
             self._metrics.count('entries_invalid')
             self._log.event('target.invalid', key=key[:80], reason=str(exc))
-            self._target_registry.remove(self._keys.target_id(key))
+            self._remove_target(key)
             return
         self._target_registry.put(target, self._now())
 
+    def _remove_target(self, key):
+        self._target_registry.remove(self._keys.target_id(key), self._now())
+
     def _apply_configuration(self, item):
         if item is None:
             self._log.event('configuration.missing')
--- a/savorycross/relay/replica.py
+++ b/savorycross/relay/replica.py
@@ -14,9 +14,9 @@
 class Replica:
     """Tracks the limits, latency, holdings and availability of a target.
 
-    :param target: the declared Target.
     ``rate`` is the RateLimiter of all requests to the target.
 
+    :param target: the declared Target.
     :param share: number of instances among which its slots are divided.
     """
 
--- a/tests/rate/test_limiter.py
+++ b/tests/rate/test_limiter.py
@@ -1,5 +1,7 @@
 """Tests of the limit on the sends to a target that states its rate."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -126,3 +128,15 @@
     engine.add_target('t', 's')
     engine.advance(0.03)
     assert len(engine.sends) == 1
+
+
+@pytest.mark.parametrize('born', [1, 2])
+def test_target_whose_entry_lapsed_keeps_its_limit_until_it_restarts(born):
+    engine = fake_engine.FakeEngine()
+    engine.add_target('t', 's', born=1)
+    state = _state_limit(engine, 1.0)
+    known = engine.target_registry
+    known.remove('t', engine.now())
+    entry = dataclasses.replace(state.target, born=born)
+    known.put(entry, engine.now())
+    assert known.find('t').rate.is_limited == (born == 1)
