Start a gather once the limits of all shards that it needs allow a send

What callers saw: where several shards take less than callers send, many calls failed (502) although targets had worked on some of their parts, and fewer were served than the limits allow.

Cause: each part waited for its own token. Under such load most calls got tokens for some of the shards that they need, sent there, and failed for the others; the tokens were lost. One scarce shard was provided for, two not.

Change: forward/gather_start. A gather waits in the lines of its limited services without holding tokens; its turn comes when enough of them allow a send at once, those whose limits allow most. Only then are all parts sent. It asks other instances only for as many tokens as it lacks. After a fifth of the objective it is refused, and no target has got anything.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -177,6 +177,14 @@
         states = self.target_registry.list_usable(service)
         return self.rates.expect_turn(states, len(self.line(service)), now)
 
+    def count_tokens(self, service, now):
+        """Return how many sends the limits of a service's targets allow now.
+
+        :returns: number with fractions; infinity if any states no limit.
+        """
+        states = self.target_registry.list_usable(service)
+        return self.rates.count_tokens(states, now)
+
     def may_borrow(self, service, now):
         """Return whether another instance may allow a send to a target."""
         states = self.target_registry.list_usable(service)
@@ -242,30 +250,23 @@
         :param keeps_reserve: whether the send has to leave tokens of limited
             targets for sends that are needed more.
         """
-        states = self.target_registry.list_usable(service)
-        if not tried:
-            # A first send leaves the reserve of limited targets for the
-            # retries and hedges of those that do not answer.
-            keeps_reserve = keeps_reserve or any(
-                not s.rate.is_limited and s.has_room and not s.is_ejected(now)
-                for s in states
-            )
-        picked = self._picker.pick(
-            states,
-            tried,
-            now,
-            lambda s: self.may_send(s, now, keeps_reserve),
-            preferred,
-        )
+        picked = self._pick(service, tried, now, preferred, keeps_reserve)
         if picked is None and not keeps_reserve:
-            self._borrow(service, states, tried, now)
+            self.borrow(service, now, tried)
         return picked
 
-    def _borrow(self, service, states, tried, now):
-        """Ask other instances for tokens of targets that have room."""
+    def may_start(self, service, now):
+        """Return whether a first send to a service is allowed now."""
+        return self._pick(service, frozenset(), now) is not None
+
+    def borrow(self, service, now, tried=frozenset()):
+        """Ask other instances for tokens of targets that have room.
+
+        :param tried: ids of targets that are excluded.
+        """
         states = [
             s
-            for s in states
+            for s in self.target_registry.list_usable(service)
             if s.target.id not in tried
             and s.has_room
             and not s.is_unreachable(now)
@@ -371,6 +372,23 @@
             service: line for service, line in self._lines.items() if line
         }
 
+    def _pick(self, service, tried, now, preferred=None, keeps_reserve=False):
+        states = self.target_registry.list_usable(service)
+        if not tried:
+            # A first send leaves the reserve of limited targets for the
+            # retries and hedges of those that do not answer.
+            keeps_reserve = keeps_reserve or any(
+                not s.rate.is_limited and s.has_room and not s.is_ejected(now)
+                for s in states
+            )
+        return self._picker.pick(
+            states,
+            tried,
+            now,
+            lambda s: self.may_send(s, now, keeps_reserve),
+            preferred,
+        )
+
     def _is_cold_send_allowed(self, state, now):
         """Return whether the limit of sends to a cold target allows one."""
         if not state.is_cold(now):
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -59,7 +59,6 @@
         must answer before the call can be answered, this one included; 0 or
         less if it can be answered already.
     :param batcher: Batcher that may take the first send, or None.
-    :param on_send: called after the first send.
     """
 
     __slots__ = (
@@ -70,7 +69,6 @@
         '_is_closed',
         '_lacks_budget',
         '_on_done',
-        '_on_send',
         '_route_latency',
         '_timer',
         'call',
@@ -100,7 +98,6 @@
         on_done,
         count_needed=lambda: 1,
         batcher=None,
-        on_send=lambda: None,
     ):
         self.call = call
         self.route = route
@@ -123,7 +120,6 @@
         self._is_closed = False
         self._lacks_budget = False
         self._batcher = batcher
-        self._on_send = on_send
         self._in_flight = set()
         self._timer = None
 
@@ -132,6 +128,13 @@
         self._engine.budget(self.service).deposit(self._engine.now())
         self._send_or_wait()
 
+    def start_in_turn(self):
+        """Send the call ahead of those that wait in the line."""
+        now = self._engine.now()
+        self._engine.budget(self.service).deposit(now)
+        if not self._send(now, is_hedge=False):
+            self._send_or_wait()
+
     def fail(self):
         """End without a send, as no target can answer."""
         self._finish(State.FAILED)
@@ -167,11 +170,6 @@
             self._engine.wake_line(self.service)
         return abandoned
 
-    @property
-    def is_unsent(self):
-        """Whether the fetch goes on and has not sent anything yet."""
-        return self.state is State.RUNNING and not self.sends
-
     @property
     def has_failed(self):
         """Whether the fetch ended without an answer."""
@@ -383,7 +381,7 @@
         """
         if self._engine.is_limited(self.service):
             since = now if self.sends else self.call.received_at
-            return since + TOKEN_WAIT_SHARE * self.route.objective_s
+            return find_token_wait_end(self.route, since)
         usable = self._engine.target_registry.list_usable(self.service)
         if all(state.is_cold(now) for state in usable):
             return self.wait_for_target_until
@@ -447,8 +445,6 @@
             self._set_timer(now + delay_s, self._hedge)
         else:
             self._set_timer(None)
-        if self.sends == 1:
-            self._on_send()
         return True
 
     def _acquire_budget(self, now, is_hedge):
@@ -494,6 +490,14 @@
         self._on_done(self)
 
 
+def find_token_wait_end(route, since):
+    """Return until when a send waits for tokens of limited targets.
+
+    :param since: runtime clock time in seconds at which it began.
+    """
+    return since + TOKEN_WAIT_SHARE * route.objective_s
+
+
 def _send_kind(is_extra, is_hedge):
     if not is_extra:
         return attempts.SendKind.FIRST
--- a/savorycross/forward/scatter_gather.py
+++ b/savorycross/forward/scatter_gather.py
@@ -4,6 +4,7 @@
 
 from savorycross.delegate import batcher
 from savorycross.forward import fetch as fetches
+from savorycross.forward import gather_start
 from savorycross.forward import route_latency
 from savorycross.merge import records
 from savorycross.overload import reachability
@@ -49,7 +50,6 @@
                 self._on_fetch_done,
                 self._count_needed,
                 self._batcher,
-                self._schedule_held,
             )
             for name in route.services
         ]
@@ -57,8 +57,8 @@
         self._min_answers = max(1, math.ceil(min_answers - FLOAT_TOLERANCE))
         self._answered = []
         self._failed = 0
-        self._scarce = []
-        self._held = []
+        self._unlimited = []
+        self._gather_start = None
         self._timers = ()
         self._is_over = False
         self._is_paused = False
@@ -83,59 +83,45 @@
         if return_at is not None:
             self._refuse(return_at)
             return
-        for number in reachability.find_dispensable(
-            outlooks, self._min_answers
-        ):
-            self._fetches[number].is_dispensable = True
         self._start_fetches(outlooks)
 
     def _start_fetches(self, outlooks):
-        """Start the fetches whose targets' limits may not allow them first.
-
-        The others are held until these have sent, so that no target works on
-        a call that then fails for the limits of others.
-        """
-        limited, others = [], []
+        """Start the fetches, as soon as the limits of targets allow enough."""
+        limited, self._unlimited = [], []
         for fetch, outlook in zip(self._fetches, outlooks, strict=True):
             if not outlook.is_reachable:
                 fetch.fail()
-            elif outlook.tokens == math.inf:
-                others.append(fetch)
-            elif fetch.is_dispensable:
-                others.insert(0, fetch)
-            else:
+            elif outlook.tokens < math.inf:
                 limited.append(fetch)
-        self._scarce = limited
-        for fetch in limited:
-            if not self._is_over:
-                fetch.start()
-        self._held = others
-        self._start_held()
-
-    def _schedule_held(self):
-        """Start the fetches that are held soon, if they are due then."""
-        if self._held:
-            self._engine.timers.call_at(self._engine.now(), self._start_held)
+            else:
+                self._unlimited.append(fetch)
+        self._gather_start = gather_start.GatherStart(
+            self._engine,
+            self._call,
+            self._route,
+            limited,
+            self._min_answers - len(self._unlimited),
+            self._objective_at,
+            self._end_at,
+            self._send_all,
+            self._refuse_unsent,
+        )
+        self._gather_start.start()
 
-    def _start_held(self):
-        """Start the fetches that are held, unless others have to send first.
+    def _send_all(self, needed, dispensable):
+        """Start all fetches.
 
-        One that the call could do without is needed if another has failed.
+        :param needed: fetches whose targets' limits allow a send now.
+        :param dispensable: fetches of other limited targets.
         """
-        if self._is_over or any(f.is_unsent for f in self._scarce):
-            return
-        spare = next((f for f in self._held if f.is_dispensable), None)
-        if spare and any(f.has_failed for f in self._scarce):
-            spare.is_dispensable = False
-            self._held.remove(spare)
-            self._scarce = [spare]
-            spare.start()
-            return
-        held, self._held = self._held, []
-        for fetch in held:
-            if self._is_over:
-                return
-            fetch.start()
+        for fetch in dispensable:
+            fetch.is_dispensable = True
+        for fetch in needed:
+            if not self._is_over:
+                fetch.start_in_turn()
+        for fetch in dispensable + self._unlimited:
+            if not self._is_over:
+                fetch.start()
         self._batcher.send()
 
     def pause(self):
@@ -153,6 +139,7 @@
     def cancel(self):
         """Abandon the call, as the caller is gone."""
         self._is_over = True
+        self._stop_waiting()
         for timer in self._timers:
             timer.cancel()
         for fetch in self._fetches:
@@ -188,7 +175,6 @@
         else:
             self._failed += 1
         self._finish_if_due()
-        self._schedule_held()
 
     def _finish_if_due(self):
         """End the call if all parts are decided or the objective is near."""
@@ -225,12 +211,16 @@
 
     def _fail(self, status, outcome):
         if not any(f.runs or f.may_have_run for f in self._fetches):
-            self._refuse(self._engine.now())
+            self._refuse_unsent()
             return
         self._end(self._engine.dialect.make_refusal(status), outcome)
         for fetch in self._fetches:
             fetch.cancel()
 
+    def _refuse_unsent(self):
+        """Refuse the call, which has waited in vain."""
+        self._refuse(self._engine.now())
+
     def _refuse(self, return_at):
         """Refuse the call, of which no target has run any part.
 
@@ -259,7 +249,12 @@
 
     def _end(self, reply, outcome):
         self._is_over = True
+        self._stop_waiting()
         self._timers[0].cancel()
         for fetch in self._fetches:
             fetch.close()
         self._on_end(reply, outcome)
+
+    def _stop_waiting(self):
+        if self._gather_start is not None:
+            self._gather_start.cancel()
--- a/savorycross/overload/reachability.py
+++ b/savorycross/overload/reachability.py
@@ -46,25 +46,3 @@
         return None
     times = sorted(o.retry_at for o in outlooks if not o.is_reachable)
     return times[missing - 1] if missing <= len(times) else math.inf
-
-
-def find_dispensable(outlooks, needed):
-    """Return the indexes of services that a call can do without.
-
-    Those without limits suffice, or those with limits that allow most. The
-    others leave what their limits allow to calls that need it.
-
-    :param outlooks: Outlooks of all services that the call asks.
-    :param needed: services that must answer.
-
-    >>> free, few, some = Outlook(True), Outlook(True, 0.0, 1.5), Outlook(
-    ...     True, 0.0, 3.0
-    ... )
-    >>> find_dispensable([free, few, some], 2)
-    {1}
-    >>> sorted(find_dispensable([free, few, some], 1))
-    [1, 2]
-    """
-    reachable = [n for n, o in enumerate(outlooks) if o.is_reachable]
-    reachable.sort(key=lambda n: -outlooks[n].tokens)
-    return {n for n in reachable[needed:] if outlooks[n].tokens < math.inf}
--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -132,6 +132,14 @@
         assert report.worth() >= 0.6
 
 
+def test_no_target_works_on_calls_that_lack_tokens_of_several_shards():
+    for seed in SEEDS:
+        report = _play('scarce_shards', 'savorycross', seed)
+        assert report.worst_limited_ratio <= 1.0
+        assert report.limit_use >= 0.9
+        assert report.count(outcome.Result.FAILED) == 0
+
+
 @pytest.mark.parametrize('name', ['limited_targets', 'scarce_rates'])
 @pytest.mark.parametrize('variant_name', ['savorycross', 'all-instances'])
 def test_target_gets_no_more_than_its_stated_rate(name, variant_name):
