Let a gather that lacks tokens of many shards wait in few lines

What callers saw: nothing yet; with 42 limited shards each turn of a waiting gather took 1 to 2.6 ms on a busy core, and it was tried from 42 lines every 20 ms, so that few waiting calls could take the whole processor.

Cause: it waited in the lines of all limited services, and each turn looked at the tokens of all of them.

Change: it looks at those first that lacked tokens at the last turn, ends once a few more than it can spare lack some, and waits in the lines of those for which it borrows, four at most. Engine.join_line sees to the next turn.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -197,6 +197,14 @@
             line = self._lines[service] = waiting_line.WaitingLine()
         return line
 
+    def join_line(self, service, send, now):
+        """Let a send wait in the line of a service.
+
+        :param send: see ``waiting_line.WaitingLine``.
+        """
+        self.line(service).join(send)
+        self._schedule_recheck(service, now)
+
     def advance_line(self, service, now):
         """Let waiting sends of a service go ahead as far as there is room.
 
@@ -212,10 +220,7 @@
         ):
             line.record_turn()
         if line:
-            self._line_timers[service] = self.timers.call_at(
-                now + RECHECK_INTERVAL_S,
-                lambda: self.advance_line(service, self.now()),
-            )
+            self._schedule_recheck(service, now)
 
     def wake_line(self, service):
         """Advance the line of a service soon, if any sends wait in it."""
@@ -372,6 +377,13 @@
             service: line for service, line in self._lines.items() if line
         }
 
+    def _schedule_recheck(self, service, now):
+        if service not in self._line_timers:
+            self._line_timers[service] = self.timers.call_at(
+                now + RECHECK_INTERVAL_S,
+                lambda: self.advance_line(service, self.now()),
+            )
+
     def _pick(self, service, tried, now, preferred=None, keeps_reserve=False):
         states = self.target_registry.list_usable(service)
         if not tried:
--- a/savorycross/forward/gather_start.py
+++ b/savorycross/forward/gather_start.py
@@ -10,11 +10,14 @@
 from savorycross.forward import fetch as fetches
 from savorycross.overload import waiting_line
 
+# Services for which a call borrows tokens at the same time.
+MAX_BORROWERS = 4
+
 
 class GatherStart:
     """Waits until the limits of targets allow enough sends of a call.
 
-    It waits in the lines of all services whose targets state limits.
+    It waits in the lines of services that lack tokens.
 
     :param engine: Engine.
     :param call: Call.
@@ -50,27 +53,31 @@
         self._on_ready = on_ready
         self._on_refused = on_refused
         self._timer = None
+        self._services = []
 
     def start(self):
-        """Start the call now, or wait."""
+        """Start the call now, or wait; calls that wait already go first."""
         if self._needed <= 0:
             self._on_ready([], self._limited)
             return
-        self._timer = self._engine.timers.call_at(
+        engine = self._engine
+        now = engine.now()
+        self._timer = engine.timers.call_at(
             self._wait_until, self._stop_waiting
         )
-        for fetch in self._limited:
-            self._engine.line(fetch.service).join(self)
-        self._engine.advance_line(self._limited[0].service, self._engine.now())
+        services = [f.service for f in self._limited]
+        busy = next((s for s in services if engine.line(s)), None)
+        if busy is None:
+            self.try_turn(now)
+            return
+        self._wait_in([busy], now)
+        engine.advance_line(busy, now)
 
     def cancel(self):
         """Wait no longer."""
-        if self._timer is None:
-            return
-        self._timer.cancel()
-        self._timer = None
-        for fetch in self._limited:
-            self._engine.line(fetch.service).leave(self)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._wait_in([], self._engine.now())
 
     def place(self):
         """Return the Place in the lines."""
@@ -84,22 +91,53 @@
 
         The services whose limits allow most are asked.
         """
-        limited = sorted(
-            self._limited,
-            key=lambda f: -self._engine.count_tokens(f.service, now),
-        )
-        ready = [f for f in limited if self._engine.may_start(f.service, now)]
-        missing = self._needed - len(ready)
-        if missing > 0:
-            lacking = [f for f in limited if f not in ready]
-            for fetch in lacking[:missing]:
+        lacking = self._find_lacking(now)
+        spare = len(self._limited) - self._needed
+        if len(lacking) > spare:
+            borrowers = self._sort(lacking, now)[: len(lacking) - spare]
+            for fetch in borrowers:
                 self._engine.borrow(fetch.service, now)
+            self._wait_in([f.service for f in borrowers], now)
             return False
         self.cancel()
-        needed = ready[: self._needed]
-        self._on_ready(needed, [f for f in limited if f not in needed])
+        ready = [f for f in self._limited if f not in lacking]
+        ready = self._sort(ready, now)
+        needed, others = ready[: self._needed], ready[self._needed :]
+        self._on_ready(needed, others + lacking)
         return True
 
+    def _wait_in(self, services, now):
+        """Wait in the lines of some services, and in no others."""
+        for service in self._services:
+            if service not in services:
+                self._engine.line(service).leave(self)
+        for service in services:
+            self._engine.join_line(service, self, now)
+        self._services = services
+
+    def _find_lacking(self, now):
+        """Return the Fetches that cannot send now.
+
+        Once the call cannot start, only a few more of them are looked for.
+        They come first at the next turn, as they probably lack tokens still.
+        """
+        spare = len(self._limited) - self._needed
+        lacking = []
+        for fetch in self._limited:
+            if not self._engine.may_start(fetch.service, now):
+                lacking.append(fetch)
+            if len(lacking) >= spare + MAX_BORROWERS:
+                break
+        ready = [f for f in self._limited if f not in lacking]
+        self._limited = lacking + ready
+        return lacking
+
+    def _sort(self, limited, now):
+        """Return Fetches, those first whose limits allow most sends."""
+        return sorted(
+            limited, key=lambda f: -self._engine.count_tokens(f.service, now)
+        )
+
     def _stop_waiting(self):
         """Refuse the call unless it can start now."""
         if self.try_turn(self._engine.now()):
--- a/tests/rate/test_gathers.py
+++ b/tests/rate/test_gathers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from savorycross.forward import gather_start
 from savorycross.forward import scatter_gather
 from tests.forward import fake_engine
 
@@ -96,3 +97,23 @@
     assert run.sent_to == []
     run.engine.advance(0.03)
     assert sorted(run.sent_to) == ['s1', 's2', 's3']
+
+
+def test_call_that_lacks_tokens_of_many_shards_waits_in_few_lines():
+    engine = fake_engine.FakeEngine()
+    names = [f's{n}' for n in range(40)]
+    for name in names:
+        engine.add_target(name, name)
+    for state in engine.target_registry.states():
+        engine.rates.record_statement(state, 6.0, 0.0, engine.time)
+    call = scatter_gather.ScatterGather(
+        engine,
+        fake_engine.make_call(received_at=engine.time),
+        fake_engine.make_route(names, min_coverage=0.9),
+        objective_at=engine.time + OBJECTIVE_S,
+        end_at=engine.time + 1.0,
+        on_end=lambda reply, outcome: None,
+    )
+    call.start()
+    waiting = sum(len(engine.line(name)) for name in names)
+    assert 0 < waiting <= gather_start.MAX_BORROWERS
