Play the load patterns of the tests in four processes

tests/load took most of the 12.6 minutes of the tests, as it played 60 patterns one after the other in the process of pytest. The plays, seeds and bounds are the same; they run in up to four processes, in the order in which tests need them.

--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -5,32 +5,44 @@
 urgent one by over 5 in 100, and none starves.
 """
 
-import functools
-
 import pytest
 
 from bench import load
-from standins.fleet import fleet
 from standins.fleet import outcome
 from standins.fleet import pattern
-from standins.fleet import variant
+from tests.load import plays
 
-SEEDS = (1, 2)
+SEEDS = plays.SEEDS
+LIMITED = ['limited_targets', 'scarce_rates']
 MAX_BEHIND = 0.05
 STARVING_PART = 0.25
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5.0
 
 
-@functools.cache
-def _play(name, variant_name='savorycross', seed=1):
-    (path,) = load.find_patterns(name)
-    read = pattern.read_pattern(path)
-    return fleet.Fleet(read, seed, variant.VARIANTS[variant_name]).run()
+@pytest.fixture(scope='module', autouse=True)
+def _plays():
+    """Play all patterns, in the order in which the tests need them."""
+    pairs = [(name, baseline) for name, baseline, _ in BASELINES]
+    pairs.append(('lost_shards', 'no-early-refusal'))
+    for name, baseline in pairs:
+        _submit(name, 'savorycross')
+        _submit(name, baseline)
+    for path in load.find_patterns('all'):
+        _submit(path.stem, 'savorycross')
+    for name in LIMITED:
+        _submit(name, 'all-instances')
+    yield
+    plays.stop()
+
+
+def _submit(name, variant_name):
+    for seed in SEEDS:
+        plays.submit(name, variant_name, seed)
 
 
 def _mean(name, variant_name, measure):
-    values = [measure(_play(name, variant_name, seed)) for seed in SEEDS]
+    values = [measure(plays.play(name, variant_name, seed)) for seed in SEEDS]
     return sum(values) / len(values)
 
 
@@ -47,23 +59,23 @@
     return sum(report.share(result, kind) for result in served)
 
 
-@pytest.mark.parametrize(
-    ('name', 'baseline', 'measure'),
-    [
-        ('many_callers', 'unlimited-sends', _worst),
-        ('many_callers', 'unlimited-sends', _worth),
-        ('repeated_retries', 'unlimited-sends', _worst),
-        ('repeated_retries', 'unlimited-sends', _worth),
-        ('slow_targets', 'unlimited-sends', _worst),
-        ('slow_targets', 'random-target', _worst),
-        ('refusing_targets', 'random-target', _worst),
-        ('early_leavers', 'random-target', _worst),
-        ('one_shard_short', 'random-target', _worst),
-        ('dark_targets', 'random-target', _worth),
-        ('lost_instances', 'all-instances', _worth),
-        ('cold_start', 'all-instances', _worth),
-    ],
-)
+BASELINES = [
+    ('many_callers', 'unlimited-sends', _worst),
+    ('many_callers', 'unlimited-sends', _worth),
+    ('repeated_retries', 'unlimited-sends', _worst),
+    ('repeated_retries', 'unlimited-sends', _worth),
+    ('slow_targets', 'unlimited-sends', _worst),
+    ('slow_targets', 'random-target', _worst),
+    ('refusing_targets', 'random-target', _worst),
+    ('early_leavers', 'random-target', _worst),
+    ('one_shard_short', 'random-target', _worst),
+    ('dark_targets', 'random-target', _worth),
+    ('lost_instances', 'all-instances', _worth),
+    ('cold_start', 'all-instances', _worth),
+]
+
+
+@pytest.mark.parametrize(('name', 'baseline', 'measure'), BASELINES)
 def test_callers_get_more_than_without_the_decision(name, baseline, measure):
     got = _mean(name, 'savorycross', measure)
     assert got > _mean(name, baseline, measure)
@@ -90,7 +102,9 @@
 )
 def test_extra_sends_stay_within_their_budget(path):
     for seed in SEEDS:
-        assert _play(path.stem, seed=seed).worst_extra_ratio <= 1.0
+        assert (
+            plays.play(path.stem, 'savorycross', seed).worst_extra_ratio <= 1.0
+        )
 
 
 @pytest.mark.parametrize('variant_name', ['savorycross', 'all-instances'])
@@ -98,7 +112,7 @@
     (path,) = load.find_patterns('cold_start')
     rate = pattern.read_pattern(path).indexes[0].cold_rate_per_s
     for seed in SEEDS:
-        most = _play('cold_start', variant_name, seed).most_cold
+        most = plays.play('cold_start', variant_name, seed).most_cold
         assert 0 < most <= rate * COLD_OVERAGE + COLD_SLACK
 
 
@@ -108,7 +122,7 @@
 def test_urgent_requests_are_served_before_others_and_none_starves(path):
     read = pattern.read_pattern(path)
     for seed in SEEDS:
-        report = _play(path.stem, seed=seed)
+        report = plays.play(path.stem, 'savorycross', seed)
         everything = _share_served(report, None)
         shares = {k.name: _share_served(report, k.name) for k in read.kinds}
         assert min(shares.values()) >= STARVING_PART * everything
@@ -124,7 +138,7 @@
 
 def test_calls_beyond_the_rates_of_targets_are_refused_before_any_send():
     for seed in SEEDS:
-        report = _play('rates_below_load', 'savorycross', seed)
+        report = plays.play('rates_below_load', 'savorycross', seed)
         assert report.worst_limited_ratio <= 1.0
         assert report.limit_use >= 0.9
         assert report.count(outcome.Result.REFUSED) > 0
@@ -134,21 +148,21 @@
 
 def test_no_target_works_on_calls_that_lack_tokens_of_several_shards():
     for seed in SEEDS:
-        report = _play('scarce_shards', 'savorycross', seed)
+        report = plays.play('scarce_shards', 'savorycross', seed)
         assert report.worst_limited_ratio <= 1.0
         assert report.limit_use >= 0.9
         assert report.count(outcome.Result.FAILED) == 0
 
 
-@pytest.mark.parametrize('name', ['limited_targets', 'scarce_rates'])
+@pytest.mark.parametrize('name', LIMITED)
 @pytest.mark.parametrize('variant_name', ['savorycross', 'all-instances'])
 def test_target_gets_no_more_than_its_stated_rate(name, variant_name):
     for seed in SEEDS:
-        report = _play(name, variant_name, seed)
+        report = plays.play(name, variant_name, seed)
         assert 0.0 < report.worst_limited_ratio <= 1.0
 
 
 def test_stated_rates_hold_while_most_instances_are_lost():
     for seed in SEEDS:
-        report = _play('lost_rate_holders', 'savorycross', seed)
+        report = plays.play('lost_rate_holders', 'savorycross', seed)
         assert 0.0 < report.worst_limited_ratio <= 1.0
