--- a/tests/forward/fake_engine.py
+++ b/tests/forward/fake_engine.py
@@ -10,6 +10,7 @@
 from savorycross.forward import call as calls
 from savorycross.forward import engine
 from savorycross.forward import picker
+from savorycross.forward import single_call
 from savorycross.forward import target_registry
 from savorycross.gateway import instance_settings
 from savorycross.metrics import registry
@@ -221,6 +222,22 @@
     )
 
 
+def start_call(engine, ends=None):
+    """Start a call to the service ``s``.
+
+    :param ends: list that gets the time and outcome of its end, or None.
+    """
+    ends = [] if ends is None else ends
+    single_call.SingleCall(
+        engine,
+        make_call(received_at=engine.time),
+        make_route(['s'], route.Shape.ONE),
+        's',
+        engine.time + 1.0,
+        lambda reply, outcome: ends.append((engine.time, outcome)),
+    ).start()
+
+
 def reply(status=200, stamp=b's.1', body=b'a' * 16, id_=ID, **more):
     """Return a target's Reply."""
     headers = [(b'Request-Id', id_)]
