--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -186,7 +186,7 @@
         return self.rates.count_tokens(states, now)
 
     def may_borrow(self, service, now):
-        """Return whether another instance may allow a send to a target."""
+        """Return whether another instance may lend a token for a service."""
         states = self.target_registry.list_usable(service)
         return self.rates.may_borrow(states, now)
 
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -6,8 +6,8 @@
 from savorycross.forward import target_state
 from savorycross.rate import limiter
 
-# The entry of a live target that lapsed while the store was away is back
-# within this time.
+# An entry can lapse while the store is away, though its target is alive. The
+# target declares itself again within this time.
 RATE_RETENTION_S = 60.0
 
 
--- a/savorycross/rate/borrowing.py
+++ b/savorycross/rate/borrowing.py
@@ -32,7 +32,7 @@
         return now < self._paused_until
 
     def choose(self, holders, rng, now):
-        """Return the name of the holder to ask now, or None.
+        """Return the name of the instance to ask for a token now, or None.
 
         The one that lent last is asked first.
 
--- a/savorycross/rate/limiter.py
+++ b/savorycross/rate/limiter.py
@@ -10,8 +10,8 @@
 # Sends that wait are tried again more often, so an instance whose sends lack
 # tokens has recorded that within this time.
 LACKING_S = 0.05
-# Other instances are told when a limit begins, ends or falls by this part;
-# they learn of smaller changes from their own answers.
+# Other instances are told when a limit begins, ends or falls by this fraction.
+# They learn of smaller changes from the answers that they get.
 TOLD_DECREASE = 0.1
 # A target whose statement changes with each answer is told of this often.
 TOLD_INTERVAL_S = 0.2
@@ -66,13 +66,13 @@
         return True
 
     def record_told(self, now):
-        """Record that the other instances are told of the statement now."""
+        """Record that this instance tells the others of the statement."""
         self._told_per_s = self.statement.rate_per_s
         self._tell_at = now + TOLD_INTERVAL_S
 
     @property
     def told_per_s(self):
-        """The limit that the other instances know; None for none."""
+        """The rate that this instance last told the others, or None."""
         return self._told_per_s
 
     def is_due_to_tell(self, now):
@@ -131,7 +131,7 @@
         return self._filled(views, now).rate_per_s
 
     def list_holders(self, shares):
-        """Return the names of the instances that hold parts of the rate.
+        """Return the names of the instances that have a part of the rate.
 
         :param shares: LimitShares in force.
         """
--- a/savorycross/rate/ownership.py
+++ b/savorycross/rate/ownership.py
@@ -8,7 +8,7 @@
 
 from savorycross.rate import share
 
-# Views of an instance, as RateLimiter takes them.
+# The ``views`` argument of RateLimiter: whether ownership is certain.
 CERTAIN_OWNER = (True,)
 UNCERTAIN_OWNER = (False,)
 
--- a/savorycross/rate/target_rates.py
+++ b/savorycross/rate/target_rates.py
@@ -176,7 +176,7 @@
         return protocol.make_row(state.target.id, stated, now, tokens)
 
     def _adopt(self, state, stated, now):
-        """Put a Statement in force, and log a change of the limit."""
+        """Replace the Statement of a target, and log a change of its limit."""
         if not state.rate.record(stated, self._views.binding(now), now):
             return
         rate_per_s = stated.rate_per_s
@@ -189,7 +189,7 @@
         self._on_change(state.target.service)
 
     def _list_lenders(self, state):
-        """Return the names of the other instances that hold parts."""
+        """Return the other instances that have a part of a target's rate."""
         holders = state.rate.list_holders(self._views.shares)
         return [name for name in holders if name != self._own_name]
 
