Log what tells the causes of a late configuration apart

A refusal without a route names the version in force, a copy from a peer the time since that peer was seen to be ahead, a listing the revision that was known before it. With these, the three hypotheses differ: a listing below the known revision (1), a watch that stayed silent (2, logged before), a copy that came late (3).

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -158,12 +158,16 @@
             if not page.has_more:
                 break
             after = page.items[-1].key
+        known_revision = self._mirror.revision
         self._mirror.retain(keys, first_revision, trio.current_time())
         self._mirror.revision = max(first_revision, self._mirror.revision)
         self._mirror.is_complete = True
         self._on_synced()
         self._log.event(
-            'store.listed', items=len(keys), revision=first_revision
+            'store.listed',
+            items=len(keys),
+            revision=first_revision,
+            known_revision=known_revision,
         )
 
     async def _watch(self):
--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -153,6 +153,12 @@
             peer_client.close()
         self._apply_snapshot(snapshot, ahead)
 
+    def _behind_s(self, now):
+        """Return the seconds since a peer was first seen to be ahead."""
+        if self._behind_since is None:
+            return 0.0
+        return round(now - self._behind_since, 3)
+
     def _apply_snapshot(self, snapshot, ahead):
         """Merge a snapshot into the mirror, if it is newer.
 
@@ -184,4 +190,5 @@
             revision=snapshot.revision,
             items=len(snapshot.items),
             is_partial=snapshot.is_partial,
+            behind_s=self._behind_s(now),
         )
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -124,12 +124,15 @@
         retry_after_s = (
             NO_CONFIGURATION_RETRY_AFTER_S if status == 503 else None
         )
+        configuration = self.configuration
+        version = configuration.version if configuration else None
         self._engine.metrics.count('requests', outcome='refused', shape='none')
         self._engine.log.event(
             'request.refused',
             call.label,
             status=status,
             reason=reason,
+            version=version,
             host=call.host,
             path=call.path,
         )
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -7,6 +7,7 @@
 from savorycross.discovery import mirror
 from tests.discovery import fakes
 from tests import null_log
+from tests import recording_log
 
 RECOVERY_S, CHANGE_DEADLINE_S = 4.0, 3.0
 TIMING = follower.make_timing(RECOVERY_S, CHANGE_DEADLINE_S)
@@ -164,3 +165,18 @@
         return
     latest_s = timing.wait_s + follower.WATCH_GRACE_S + timing.max_pause_s
     assert latest_s < recovery_s + change_deadline_s
+
+
+async def test_listing_tells_the_revision_known_before(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    store.put_value('a', b'1')
+    copy = mirror.Mirror(lambda key, value: None)
+    copy.revision = 7
+    log = recording_log.RecordingLog()
+    tested = follower.Follower(store, copy, log, TIMING)
+    nursery.start_soon(tested.run)
+    await trio.sleep(1)
+    (fields,) = log.fields('store.listed')
+    assert (fields['known_revision'], fields['revision']) == (7, 2)
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -11,6 +11,7 @@
 from savorycross.fleet import mirror_sync
 from savorycross.wire import server
 from tests import null_log
+from tests import recording_log
 
 
 @dataclasses.dataclass
@@ -65,7 +66,7 @@
         return FakePeerState(None, True)
 
 
-async def _copy_mirror(nursery, is_complete):
+async def _copy_mirror(nursery, is_complete, log=null_log.NullLog()):
     """Return a mirror with an item of its own, after a copy from a peer."""
     theirs = mirror.Mirror(lambda key, value: None)
     theirs.apply(item.Item('a', 3, b'x'), 0.0)
@@ -87,10 +88,11 @@
         DisconnectedFollower(),
         FakeDuty(),
         None,
-        null_log.NullLog(),
+        log,
         lambda: None,
         nursery,
     )
+    tested._behind_since = trio.current_time() - 1.0
     peer = heartbeat.Peer('p', 1, 'bilbo', address, address)
     await tested._copy_from(FakePeerState(peer, True))
     return mine
@@ -102,6 +104,13 @@
     assert mine.revision == 9
 
 
+async def test_copy_tells_for_how_long_the_instance_was_behind(nursery):
+    log = recording_log.RecordingLog()
+    await _copy_mirror(nursery, is_complete=True, log=log)
+    (fields,) = log.fields('mirror.copied')
+    assert 1.0 <= fields['behind_s'] < 2.0
+
+
 async def test_copy_of_an_incomplete_mirror_needs_a_listing(nursery):
     mine = await _copy_mirror(nursery, is_complete=False)
     assert sorted(mine.items) == ['a', 'gone']
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -2,8 +2,10 @@
 
 from savorycross.gateway import gateway
 from savorycross.route import configuration
+from savorycross.wire import messages
 from savorycross.wire import server
 from tests.forward import fake_engine
+from tests import recording_log
 
 
 def make(*services):
@@ -31,3 +33,12 @@
     assert current.lacks_targets()
     engine.add_target('last', 's17')
     assert not current.lacks_targets()
+
+
+def test_refusal_without_a_route_tells_the_version_in_force():
+    current, engine = make('s0')
+    engine.log = recording_log.RecordingLog()
+    headers = ((b'Host', b'other.example'), (b'Request-Id', b'1'))
+    current.handle(messages.Request(b'GET', b'/x', headers), lambda reply: 0)
+    (fields,) = engine.log.fields('request.refused')
+    assert (fields['status'], fields['version']) == (404, 1)
