Copy from another peer when the first one does not answer

Cause: it always asked the peer with the newest revision, and asked the same one again when that was lost just after it had read the change (1.0 s without a reply, 0.5 s pause, 1.0 s again), before it watched the store. With the pause of the watch and the heartbeat, 4.0 s of 3.0 s allowed. Change: after 0.8 s it asks the next one that is ahead, at once.

Evidence: by reading; tests/fleet/test_mirror_sync.py, change in time though the first source is silent: failed before, passes now.

--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -11,7 +11,8 @@
 PATH = b'/mirror'
 _AFTER = PATH + b'?after='
 CHECK_INTERVAL_S = 0.5
-REQUEST_TIMEOUT_S = 1.0
+# Leaves time to ask a second peer before a change is due.
+REQUEST_TIMEOUT_S = 0.8
 # An instance that could not copy what peers have for this long watches the
 # store itself.
 MAX_BEHIND_S = 1.5
@@ -115,7 +116,7 @@
             if self._behind_since is None:
                 self._behind_since = now
             if not self._follower.is_connected or not self._duty.is_on(now):
-                await self._copy_or_watch(ahead, now)
+                await self._copy_or_watch()
             elif not self._follower.is_watching:
                 # The follower pauses between watches so that changes gather;
                 # peers may have read them already.
@@ -125,16 +126,31 @@
                 self._behind_since = None
                 self._follower.restart()
 
-    async def _copy_or_watch(self, ahead, now):
-        """Copy from a peer; watch the store if that fails for too long."""
-        revision = self._mirror.revision
-        await self._copy_from(ahead)
-        if self._mirror.revision > revision:
-            self._behind_since = None
-        elif now - self._behind_since > MAX_BEHIND_S:
-            self._duty.force(now)
+    async def _copy_or_watch(self):
+        """Copy from one peer after the other, until one answers.
+
+        Watch the store if none does for too long.
+        """
+        silent = set()
+        while True:
+            now = trio.current_time()
+            if now - self._behind_since > MAX_BEHIND_S:
+                self._duty.force(now)
+                return
+            ahead = self._peers.find_ahead(self._mirror.revision, now, silent)
+            if ahead is None:
+                return
+            if await self._copy_from(ahead):
+                self._behind_since = None
+                return
+            silent.add(ahead.peer.name)
 
     async def _copy_from(self, ahead):
+        """Copy from a peer.
+
+        :param ahead: PeerState of the peer.
+        :returns: whether the mirror has a newer revision now.
+        """
         peer_client = client.Client(tuple(ahead.peer.address), self._nursery)
         path = PATH
         if self._mirror.is_complete:
@@ -148,10 +164,10 @@
             self._log.event(
                 'mirror.not_copied', peer=ahead.peer.name, reason=str(exc)
             )
-            return
+            return False
         finally:
             peer_client.close()
-        self._apply_snapshot(snapshot, ahead)
+        return self._apply_snapshot(snapshot, ahead)
 
     def _behind_s(self, now):
         """Return the seconds since a peer was first seen to be ahead."""
@@ -163,10 +179,11 @@
         """Merge a snapshot into the mirror, if it is newer.
 
         :param ahead: PeerState of the peer that sent it.
+        :returns: whether it is.
         """
         mirror = self._mirror
         if snapshot.revision <= mirror.revision:
-            return
+            return False
         now = trio.current_time()
         if snapshot.hold_ms:
             mirror.hold_removals(now, snapshot.hold_ms / 1000)
@@ -192,3 +209,4 @@
             is_partial=snapshot.is_partial,
             behind_s=self._behind_s(now),
         )
+        return True
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -186,18 +186,20 @@
         names = {s.peer.data_centre for s in self._by_name.values()}
         return len(names | {self.own.data_centre})
 
-    def find_ahead(self, revision, now):
+    def find_ahead(self, revision, now, excluded=frozenset()):
         """Return the PeerState of the peer with the newest store revision.
 
         Only peers that this instance itself has heard recently count.
 
         :param revision: the store's revision that this instance has seen.
+        :param excluded: names of peers that do not count.
         :returns: None if no peer has seen a newer one.
         """
         ahead = [
             s
             for s in self._by_name.values()
             if s.revision > revision
+            and s.peer.name not in excluded
             and s.heard_directly_at is not None
             and now - s.heard_directly_at < REMOTE_DEAD_AFTER_S
         ]
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -9,7 +9,9 @@
 from savorycross.discovery import mirror
 from savorycross.fleet import heartbeat
 from savorycross.fleet import mirror_sync
+from savorycross.fleet import peer_registry
 from savorycross.wire import server
+from tests.fleet import test_peer_registry
 from tests import null_log
 from tests import recording_log
 
@@ -61,7 +63,7 @@
 class FakePeerRegistry:
     """A registry in which one peer is always ahead of this instance."""
 
-    def find_ahead(self, revision, now):
+    def find_ahead(self, revision, now, excluded=frozenset()):
         """Return the state of that peer."""
         return FakePeerState(None, True)
 
@@ -139,7 +141,7 @@
 class SilentPeerRegistry(FakePeerRegistry):
     """A registry in which the peer that is ahead cannot be reached."""
 
-    def find_ahead(self, revision, now):
+    def find_ahead(self, revision, now, excluded=frozenset()):
         """Return the state of a peer at whose address nobody listens."""
         peer = heartbeat.Peer('p', 1, 'x', ('127.0.0.1', 1), ('127.0.0.1', 1))
         return FakePeerState(peer, True)
@@ -172,3 +174,53 @@
     assert [i[0] for i in snapshot.items] == ['k499']
     assert snapshot.removals == [('k7', 500)]
     assert snapshot.is_partial
+
+
+def _stay_silent(request, respond):
+    return None
+
+
+async def test_change_arrives_in_time_though_the_first_source_is_silent(
+    nursery,
+):
+    # Of the 3 s in which a change is due, the longest pause of the source's
+    # watch and the interval of its heartbeats leave 1.4 s.
+    registry = peer_registry.PeerRegistry(
+        test_peer_registry._peer('a0', 'a'), null_log.NullLog()
+    )
+    theirs = mirror.Mirror(lambda key, value: None)
+    theirs.apply(item.Item('a', 9, b'x'), 0.0)
+    theirs.revision = 9
+    handlers = (mirror_sync.make_handler(theirs), _stay_silent)
+    now = trio.current_time()
+    for port, name in ((20932, 'a1'), (20933, 'a2')):
+        peer = heartbeat.Peer(
+            name, 1, 'a', ('127.0.0.1', port), ('127.0.0.1', 1)
+        )
+        registry.register(peer, now)
+        registry.on_heartbeat(
+            heartbeat.Heartbeat(
+                heartbeat.FORMAT, peer.id, heartbeat.READY, 9, True
+            ),
+            peer.address,
+            now,
+        )
+    first = registry.find_ahead(0, now).peer
+    for port in (20932, 20933):
+        is_first = first.address[1] == port
+        peer_server = server.Server(handlers[is_first], nursery)
+        nursery.start_soon(peer_server.run, ('127.0.0.1', port))
+    await trio.testing.wait_all_tasks_blocked()
+    mine = mirror.Mirror(lambda key, value: None)
+    tested = mirror_sync.MirrorSynchronizer(
+        mine,
+        ConnectedFollower(is_watching=False),
+        FakeDuty(is_on=False),
+        registry,
+        null_log.NullLog(),
+        lambda: None,
+        nursery,
+    )
+    nursery.start_soon(tested.run)
+    await trio.sleep(1.4)
+    assert sorted(mine.items) == ['a']
