Log when the store is restored, and show its era in the metrics

Answers of the store name its era. A page of another era than the one before is logged as store.restored with both eras and revisions; the gauge store_era tells which instances have seen it. With these, an instance that saw the restore and dropped the changes differs from one that did not see it.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -67,7 +67,8 @@
     """Lists the store's items, then watches for changes to them.
 
     ``is_connected`` tells whether the store answered the latest call,
-    ``is_watching`` whether a watch is waiting for changes.
+    ``is_watching`` whether a watch is waiting for changes, ``era`` the
+    latest era of the store that an answer named.
 
     :param store: ItemStore.
     :param mirror: Mirror.
@@ -107,6 +108,7 @@
         self._failed_at = None
         self.is_connected = False
         self.is_watching = False
+        self.era = 0
 
     def restart(self):
         """Cancel the waiting call, which may be dead, and call again."""
@@ -151,6 +153,7 @@
         while True:
             page = await self._store.read_page(after)
             self.note_answer()
+            self._note_era(page)
             if first_revision is None:
                 first_revision = page.revision
             self._apply(page.items)
@@ -181,6 +184,7 @@
         if scope.cancelled_caught:
             raise errors.StoreUnavailableError('watch stayed silent')
         self.note_answer()
+        self._note_era(page)
         self._apply(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
         self._on_synced()
@@ -215,6 +219,17 @@
         self._log.event('store.regained', after_s=now - self._failed_at)
         self._failed_at = None
 
+    def _note_era(self, page):
+        if self.era and page.era != self.era:
+            self._log.event(
+                'store.restored',
+                era=page.era,
+                known_era=self.era,
+                revision=page.revision,
+                known_revision=self._mirror.revision,
+            )
+        self.era = page.era
+
     def note_failure(self, exc):
         """Note that the store did not answer a call of this instance.
 
--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -24,11 +24,14 @@
 
     :param revision: the store's revision when the page was read.
     :param has_more: whether further items follow in the store.
+    :param era: number of the store's era, which rises when the store is
+        restored from an older copy; 0 if the store does not tell.
     """
 
     items: tuple[Item, ...]
     revision: int
     has_more: bool = False
+    era: int = 0
 
 
 class ItemStore(typing.Protocol):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -351,6 +351,7 @@
         gauge = self.metrics.set_gauge
         gauge('store_connected', int(self._follower.is_connected))
         gauge('store_revision', self._mirror.revision)
+        gauge('store_era', self._follower.era)
         gauge('instances', self._count_instances())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -31,6 +31,10 @@
     events: tuple[_Item, ...] = ()
 
 
+# Number of the store's era, in all of its answers.
+_ERA = b'store-era'
+
+
 class _Lease(msgspec.Struct, frozen=True):
     lease: int
 
@@ -53,7 +57,10 @@
         reply = await self._call(b'GET', '/v1/kv-range', query)
         page = _decode(reply, _Range)
         return item.Page(
-            _to_items(page.items), page.current_rev, page.has_more
+            _to_items(page.items),
+            page.current_rev,
+            page.has_more,
+            _read_era(reply),
         )
 
     async def watch(self, revision, wait_s):
@@ -69,7 +76,11 @@
         if reply.status == 410:
             raise errors.HistoryGoneError(f'revision {revision}')
         changes = _decode(reply, _Watch)
-        return item.Page(_to_items(changes.events), changes.current_rev)
+        return item.Page(
+            _to_items(changes.events),
+            changes.current_rev,
+            era=_read_era(reply),
+        )
 
     async def open_lease(self, ttl_s):
         """Return the id of a new lease that ends after ``ttl_s`` seconds."""
@@ -117,6 +128,11 @@
             ) from exc
 
 
+def _read_era(reply):
+    value = reply.header(_ERA)
+    return int(value) if value is not None and value.isdigit() else 0
+
+
 def _to_items(wire_items):
     return tuple(
         item.Item(i.key, i.rev, _decode_value(i.value), i.removed)
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -17,6 +17,7 @@
         self.revision = 1
         self.is_down = False
         self.is_silent = False
+        self.era = 1
         self.oldest_revision = 0
         self.calls = []
         self._events = []
@@ -43,7 +44,8 @@
         """Return all items."""
         self._record_call('list')
         await trio.lowlevel.checkpoint()
-        return item.Page(tuple(self.items.values()), self.revision)
+        items = tuple(self.items.values())
+        return item.Page(items, self.revision, era=self.era)
 
     async def watch(self, revision, wait_s):
         """Return changes after a revision."""
@@ -57,7 +59,7 @@
                 await self._changed.wait()
                 self._record_call('watch')
         events = tuple(e for e in self._events if e.revision > revision)
-        return item.Page(events, self.revision)
+        return item.Page(events, self.revision, era=self.era)
 
     def _record_call(self, name):
         self.calls.append(name)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -180,3 +180,19 @@
     await trio.sleep(1)
     (fields,) = log.fields('store.listed')
     assert (fields['known_revision'], fields['revision']) == (7, 2)
+
+
+async def test_restored_store_is_logged_with_both_eras(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    log = recording_log.RecordingLog()
+    copy = mirror.Mirror(lambda key, value: None)
+    tested = follower.Follower(store, copy, log, TIMING)
+    nursery.start_soon(tested.run)
+    await trio.sleep(1)
+    store.era = 2
+    store.put_value('a', b'1')
+    await trio.sleep(1)
+    (fields,) = log.fields('store.restored')
+    assert (fields['known_era'], fields['era']) == (1, 2)
