Pause between listings when the store lacks the history for each watch

Cause: a lost history is answered by a listing at once, also when the watch right after the last listing had lost it too. Change: from the second in a row on, pauses of 0.2 s to 1 s. Delays after failures start anew once a watch is answered; before, they stayed at 1 s after the first outage.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -5,6 +5,7 @@
 import trio
 
 from savorycross import errors
+from savorycross.forward import backoff
 
 # The store answers a watch when its wait time is over; a watch that is silent
 # for this much longer is dead.
@@ -106,6 +107,9 @@
         self._urgent_until = 0.0
         self._scope = trio.CancelScope()
         self._failed_at = None
+        # Failures and lost histories since a watch was answered.
+        self._failures = 0
+        self._histories_gone = 0
         self.is_connected = False
         self.is_watching = False
         self.era = 0
@@ -116,20 +120,21 @@
 
     async def run(self):
         """Follow the store until cancelled."""
-        delay_s = MIN_RETRY_DELAY_S
         self._urgent_until = trio.current_time() + URGENT_PERIOD_S
         while True:
             try:
                 if not await self._follow():
                     self._log.event('store.watch_restarted')
-                delay_s = MIN_RETRY_DELAY_S
             except errors.HistoryGoneError:
                 self._log.event('store.history_gone')
                 self._mirror.is_complete = False
+                if self._histories_gone:
+                    await trio.sleep(_retry_delay_s(self._histories_gone))
+                self._histories_gone += 1
             except errors.StoreUnavailableError as exc:
                 self.note_failure(exc)
-                await trio.sleep(delay_s)
-                delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+                await trio.sleep(_retry_delay_s(self._failures))
+                self._failures += 1
 
     async def _follow(self):
         """List if needed, then watch until ``restart`` is called.
@@ -183,6 +188,8 @@
             self.is_watching = False
         if scope.cancelled_caught:
             raise errors.StoreUnavailableError('watch stayed silent')
+        self._failures = 0
+        self._histories_gone = 0
         self.note_answer()
         self._note_era(page)
         self._apply(page.items)
@@ -241,3 +248,7 @@
         if self._failed_at is None:
             self._failed_at = now
             self._log.event('store.lost', reason=str(exc))
+
+
+def _retry_delay_s(n):
+    return backoff.exponential(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, n)
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -9,7 +9,8 @@
 class FakeStore:
     """Holds items; can be unavailable, and can drop its history.
 
-    ``is_down`` makes all calls fail, ``is_silent`` makes watches hang.
+    ``is_down`` makes all calls fail, ``is_silent`` makes watches hang;
+    without ``has_history``, all watches fail.
     """
 
     def __init__(self):
@@ -17,6 +18,7 @@
         self.revision = 1
         self.is_down = False
         self.is_silent = False
+        self.has_history = True
         self.era = 1
         self.oldest_revision = 0
         self.calls = []
@@ -50,7 +52,8 @@
     async def watch(self, revision, wait_s):
         """Return changes after a revision."""
         self._record_call('watch')
-        if revision < self.oldest_revision:
+        if revision < self.oldest_revision or not self.has_history:
+            await trio.sleep(0.004)
             raise errors.HistoryGoneError(f'revision {revision}')
         if self.is_silent:
             await trio.sleep_forever()
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -76,6 +76,16 @@
     assert sorted(copy.items) == ['b']
 
 
+async def test_store_without_history_gets_few_calls(world, autojump_clock):
+    store, _, _ = world
+    store.has_history = False
+    store.put_value('b', b'2')
+    await trio.sleep(1)
+    store.calls.clear()
+    await trio.sleep(30)
+    assert len(store.calls) <= 2 * 30 / follower.MAX_RETRY_DELAY_S
+
+
 async def test_many_instances_read_a_burst_of_changes_with_few_calls(
     nursery, autojump_clock
 ):
