Order revisions of the store by its era first

Cause: the mirror of the store, the watch, the copies between instances and their heartbeats compared revisions as plain numbers. After a restore these go back and are given out again, so that each new item counted as older than the one known, and the watch continued from a number of another history. The class of fault: a position in a history, kept without the history that it belongs to.

Change: a Revision is an era and a number, ordered by era first, wherever one is kept, compared or passed on (discovery, fleet). A page of another era never continues a watch or a listing: the instance lists again. Removals that such a listing shows are held back as after an outage. Heartbeats carry the era in a trailing field that older instances ignore; one without counts as era 0, which is never ahead. Mirrors are copied under a new path, as older ones cannot read their format; an older instance that gets none watches the store itself.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -68,8 +68,7 @@
     """Lists the store's items, then watches for changes to them.
 
     ``is_connected`` tells whether the store answered the latest call,
-    ``is_watching`` whether a watch is waiting for changes, ``era`` the
-    latest era of the store that an answer named.
+    ``is_watching`` whether a watch is waiting for changes.
 
     :param store: ItemStore.
     :param mirror: Mirror.
@@ -112,7 +111,6 @@
         self._histories_gone = 0
         self.is_connected = False
         self.is_watching = False
-        self.era = 0
 
     def restart(self):
         """Cancel the waiting call, which may be dead, and call again."""
@@ -158,9 +156,9 @@
         while True:
             page = await self._store.read_page(after)
             self.note_answer()
-            self._note_era(page)
             if first_revision is None:
                 first_revision = page.revision
+            self._check_era(page, max(first_revision, self._mirror.revision))
             self._apply(page.items)
             keys.update(item.key for item in page.items)
             if not page.has_more:
@@ -171,8 +169,9 @@
         self._mirror.revision = max(first_revision, self._mirror.revision)
         self._mirror.is_complete = True
         self._on_synced()
+        was_restored = 0 < known_revision.era < first_revision.era
         self._log.event(
-            'store.listed',
+            'store.restored' if was_restored else 'store.listed',
             items=len(keys),
             revision=first_revision,
             known_revision=known_revision,
@@ -191,13 +190,27 @@
         self._failures = 0
         self._histories_gone = 0
         self.note_answer()
-        self._note_era(page)
+        self._check_era(page, self._mirror.revision)
         self._apply(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
         self._on_synced()
         if page.items:
             await trio.sleep(self._pause_s())
 
+    def _check_era(self, page, known):
+        """Refuse a page that does not continue the history up to a Revision.
+
+        :raises HistoryGoneError: if the store was restored since.
+        :raises StoreUnavailableError: if the page is of an earlier era.
+        """
+        era = page.revision.era
+        if era > known.era:
+            raise errors.HistoryGoneError(f'era {era} began after {known}')
+        if era < known.era:
+            raise errors.StoreUnavailableError(
+                f'reply of era {era}, though {known} was seen'
+            )
+
     def _pause_s(self):
         """Return the seconds to pause so that changes gather in the store."""
         if (
@@ -226,17 +239,6 @@
         self._log.event('store.regained', after_s=now - self._failed_at)
         self._failed_at = None
 
-    def _note_era(self, page):
-        if self.era and page.era != self.era:
-            self._log.event(
-                'store.restored',
-                era=page.era,
-                known_era=self.era,
-                revision=page.revision,
-                known_revision=self._mirror.revision,
-            )
-        self.era = page.era
-
     def note_failure(self, exc):
         """Note that the store did not answer a call of this instance.
 
--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -4,16 +4,37 @@
 import typing
 
 
+class Revision(typing.NamedTuple):
+    """Is a position in the store's history; later ones are greater.
+
+    A store that is restored from an older copy begins a new era, in which it
+    gives numbers out again. Positions in different eras are ordered by era.
+
+    >>> Revision(2, 5) > Revision(1, 9)
+    True
+
+    :param era: number of the era; 0 if the store does not tell.
+    :param number: number of the change.
+    """
+
+    era: int
+    number: int
+
+
+NO_REVISION = Revision(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """Holds a key of the store with its value, or its removal.
 
-    :param revision: the store's revision at the key's last change.
+    :param revision: the Revision of the key's last change, in the era in
+        which the item was read.
     :param removed: whether this change removed the key.
     """
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes = b''
     removed: bool = False
 
@@ -22,16 +43,13 @@
 class Page:
     """Holds items in the order of their keys.
 
-    :param revision: the store's revision when the page was read.
+    :param revision: the store's Revision when the page was read.
     :param has_more: whether further items follow in the store.
-    :param era: number of the store's era, which rises when the store is
-        restored from an older copy; 0 if the store does not tell.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    revision: Revision
     has_more: bool = False
-    era: int = 0
 
 
 class ItemStore(typing.Protocol):
@@ -43,9 +61,12 @@
     async def read_page(self, after: str) -> Page:
         """Return the first items whose keys sort after a key."""
 
-    async def watch(self, revision: int, wait_s: float) -> Page:
+    async def watch(self, revision: Revision, wait_s: float) -> Page:
         """Return the changes after a revision, waiting for the first.
 
+        A page of another era holds no changes since the revision, as its
+        number belongs to another history there.
+
         :param wait_s: seconds after which the page is empty.
         :raises HistoryGoneError: if the store has dropped these changes.
         """
--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -17,7 +17,7 @@
     Removals during or just after an outage of the store are held back for a
     while, as a live owner writes its entry again.
 
-    ``revision`` is the store's revision that the mirror has reached,
+    ``revision`` is the store's Revision that the mirror has reached,
     ``is_complete`` tells whether a listing has filled it. Removals after
     ``removals_since`` are all known with their revisions.
 
@@ -26,8 +26,8 @@
     """
 
     def __init__(self, on_change):
-        self.revision = 0
-        self.removals_since = 0
+        self.revision = items.NO_REVISION
+        self.removals_since = items.NO_REVISION
         self.is_complete = False
         self.items = {}
         self._on_change = on_change
@@ -41,7 +41,7 @@
         known = self.items.get(key)
         if known is not None and known.revision >= item.revision:
             return
-        if self._tombstones.get(key, 0) >= item.revision:
+        if self._tombstones.get(key, items.NO_REVISION) >= item.revision:
             return
         if not item.removed:
             self._held_removals.pop(key, None)
@@ -57,9 +57,14 @@
     def retain(self, keys, revision, now):
         """Remove all items but those of the keys of a complete listing.
 
-        :param revision: the store's revision that the listing shows at
+        If the store was restored, removals are held back, as their owners
+        write the keys again that the store lost.
+
+        :param revision: the store's Revision that the listing shows at
             least; newer items stay.
         """
+        if 0 < self.revision.era < revision.era:
+            self.hold_removals(now)
         removed = [
             i.key
             for i in self.items.values()
@@ -134,7 +139,8 @@
         self._notify(key, None)
 
     def _add_tombstone(self, key, revision):
-        self._tombstones[key] = max(revision, self._tombstones.get(key, 0))
+        known = self._tombstones.get(key, items.NO_REVISION)
+        self._tombstones[key] = max(revision, known)
         if len(self._tombstones) > MAX_TOMBSTONES:
             oldest = next(iter(self._tombstones))
             self.forget_removals(self._tombstones.pop(oldest))
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -67,12 +67,13 @@
     :param format: FORMAT.
     :param sender: ``Peer.id`` of the sender.
     :param flags: READY and LEAVING of the sender.
-    :param revision: the store's revision that the sender has seen.
+    :param revision: number of the store's revision that the sender has seen.
     :param has_store: whether the store answers the sender.
     :param rows: status of other instances.
     :param asked: ids whose Peer the sender asks the receiver for.
     :param peers: Peers that the receiver asked for.
     :param load: percentage of a core that the sender uses.
+    :param era: era of ``revision``; 0 if the sender does not know eras.
     """
 
     format: int
@@ -84,6 +85,7 @@
     asked: tuple[int, ...] = ()
     peers: tuple[Peer, ...] = ()
     load: _Load = 0
+    era: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -8,7 +8,9 @@
 from savorycross.wire import client
 from savorycross.wire import messages
 
-PATH = b'/mirror'
+# Version of the snapshots' format; instances of other versions use another
+# path, and get no snapshot from this one.
+PATH = b'/mirror/2'
 _AFTER = PATH + b'?after='
 CHECK_INTERVAL_S = 0.5
 # Leaves time to ask a second peer before a change is due.
@@ -21,17 +23,17 @@
 class Snapshot(msgspec.Struct, array_like=True):
     """Holds the items of a mirror, all of them or those that changed.
 
-    :param revision: the store's revision that the mirror has reached.
-    :param items: key, revision and value of each item.
-    :param removals: key and revision of each removed item.
+    :param revision: the store's Revision that the mirror has reached.
+    :param items: key, Revision and value of each item.
+    :param removals: key and Revision of each removed item.
     :param is_complete: whether a listing has filled the mirror.
     :param is_partial: whether items that did not change are left out.
     :param hold_ms: milliseconds for which removals are to be held back.
     """
 
-    revision: int
-    items: list[tuple[str, int, bytes]]
-    removals: list[tuple[str, int]] = []
+    revision: items.Revision
+    items: list[tuple[str, items.Revision, bytes]]
+    removals: list[tuple[str, items.Revision]] = []
     is_complete: bool = False
     is_partial: bool = False
     hold_ms: int = 0
@@ -40,7 +42,7 @@
 def make_snapshot(mirror, after, now):
     """Return the Snapshot of a mirror for a peer.
 
-    :param after: revision that the peer has reached, or None if it needs
+    :param after: Revision that the peer has reached, or None if it needs
         all items.
     :param now: runtime clock time in seconds.
     """
@@ -68,17 +70,30 @@
 
     def handle(request, respond):
         path, _, after = request.target.partition(b'?after=')
-        if path != PATH or not mirror.revision:
+        if path != PATH or mirror.revision == items.NO_REVISION:
             respond(messages.Reply(404))
             return None
-        after = int(after) if after.isdigit() else None
-        snapshot = make_snapshot(mirror, after, trio.current_time())
+        snapshot = make_snapshot(
+            mirror, _parse_revision(after), trio.current_time()
+        )
         respond(messages.Reply(200, (), msgspec.msgpack.encode(snapshot)))
         return None
 
     return handle
 
 
+def _format_revision(revision):
+    return b'%d.%d' % revision
+
+
+def _parse_revision(text):
+    """Return the Revision that bytes such as ``2.67`` name, or None."""
+    era, _, number = text.partition(b'.')
+    if not era.isdigit() or not number.isdigit():
+        return None
+    return items.Revision(int(era), int(number))
+
+
 class MirrorSynchronizer:
     """Updates the mirror from peers while this instance does not watch.
 
@@ -154,7 +169,7 @@
         peer_client = client.Client(tuple(ahead.peer.address), self._nursery)
         path = PATH
         if self._mirror.is_complete:
-            path = _AFTER + b'%d' % self._mirror.revision
+            path = _AFTER + _format_revision(self._mirror.revision)
         try:
             reply = await peer_client.call(
                 b'GET', path, timeout_s=REQUEST_TIMEOUT_S
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from savorycross.discovery import item as items
 from savorycross.fleet import heartbeat as heartbeats
 
 HEARTBEAT_INTERVAL_S = 0.4
@@ -34,7 +35,7 @@
         as far as known, or None.
     :param heard_directly_at: when this instance received one, or None.
     :param flags: READY and LEAVING.
-    :param revision: the store's revision that the peer has seen.
+    :param revision: the store's Revision that the peer has seen.
     :param has_store: whether the store answers the peer.
     :param load: percentage of a core that the peer uses.
     """
@@ -44,7 +45,7 @@
     heard_at: float | None = None
     heard_directly_at: float | None = None
     flags: int = 0
-    revision: int = 0
+    revision: items.Revision = items.NO_REVISION
     has_store: bool = False
     load: int = 0
 
@@ -109,7 +110,7 @@
         state.heard_at = now
         state.heard_directly_at = now
         state.flags = heartbeat.flags
-        state.revision = heartbeat.revision
+        state.revision = items.Revision(heartbeat.era, heartbeat.revision)
         state.has_store = heartbeat.has_store
         state.load = heartbeat.load
 
@@ -191,7 +192,7 @@
 
         Only peers that this instance itself has heard recently count.
 
-        :param revision: the store's revision that this instance has seen.
+        :param revision: the store's Revision that this instance has seen.
         :param excluded: names of peers that do not count.
         :returns: None if no peer has seen a newer one.
         """
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -287,7 +287,8 @@
         return {
             'flags': self._directory.is_ready * heartbeat.READY
             | self._is_stopping * heartbeat.LEAVING,
-            'revision': self._mirror.revision,
+            'revision': self._mirror.revision.number,
+            'era': self._mirror.revision.era,
             'has_store': self._follower.is_connected,
             'load': round(100 * self._loop_load.value),
         }
@@ -350,8 +351,8 @@
         now = trio.current_time()
         gauge = self.metrics.set_gauge
         gauge('store_connected', int(self._follower.is_connected))
-        gauge('store_revision', self._mirror.revision)
-        gauge('store_era', self._follower.era)
+        gauge('store_revision', self._mirror.revision.number)
+        gauge('store_era', self._mirror.revision.era)
         gauge('instances', self._count_instances())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -48,6 +48,7 @@
 
     def __init__(self, address, nursery):
         self._client = client.Client(address, nursery)
+        self._era = 0
 
     async def read_page(self, after):
         """Return the first items whose keys sort after a key."""
@@ -56,18 +57,18 @@
             query['after'] = after
         reply = await self._call(b'GET', '/v1/kv-range', query)
         page = _decode(reply, _Range)
+        era = self._read_era(reply)
         return item.Page(
-            _to_items(page.items),
-            page.current_rev,
+            _to_items(page.items, era),
+            item.Revision(era, page.current_rev),
             page.has_more,
-            _read_era(reply),
         )
 
     async def watch(self, revision, wait_s):
         """Return the changes after a revision, waiting for the first."""
         query = {
             'prefix': '',
-            'after': revision,
+            'after': revision.number,
             'wait_ms': int(wait_s * 1000),
         }
         reply = await self._call(
@@ -76,10 +77,10 @@
         if reply.status == 410:
             raise errors.HistoryGoneError(f'revision {revision}')
         changes = _decode(reply, _Watch)
+        era = self._read_era(reply)
         return item.Page(
-            _to_items(changes.events),
-            changes.current_rev,
-            era=_read_era(reply),
+            _to_items(changes.events, era),
+            item.Revision(era, changes.current_rev),
         )
 
     async def open_lease(self, ttl_s):
@@ -109,6 +110,13 @@
         reply = await self._call(b'POST', '/v1/kv-txn', body=body)
         _check_lease(reply, lease)
 
+    def _read_era(self, reply):
+        """Return the era that a reply names, or that of the one before."""
+        value = reply.header(_ERA)
+        if value is not None and value.isdigit():
+            self._era = int(value)
+        return self._era
+
     async def _call(
         self, method, path, query=None, body=None, timeout_s=CALL_TIMEOUT_S
     ):
@@ -128,14 +136,14 @@
             ) from exc
 
 
-def _read_era(reply):
-    value = reply.header(_ERA)
-    return int(value) if value is not None and value.isdigit() else 0
-
-
-def _to_items(wire_items):
+def _to_items(wire_items, era):
     return tuple(
-        item.Item(i.key, i.rev, _decode_value(i.value), i.removed)
+        item.Item(
+            i.key,
+            item.Revision(era, i.rev),
+            _decode_value(i.value),
+            i.removed,
+        )
         for i in wire_items
     )
 
--- a/standins/kv_model.py
+++ b/standins/kv_model.py
@@ -1,6 +1,7 @@
 """A model of the platform's metadata store."""
 
 import base64
+import copy
 import dataclasses
 
 import trio
@@ -17,9 +18,13 @@
 
 
 class KvModel:
-    """Keys with revisions, leases and a history of changes."""
+    """Keys with revisions, leases and a history of changes.
+
+    ``era`` rises by one when the store is restored from an older copy.
+    """
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.items = {}
         self._leases = {}
@@ -52,6 +57,21 @@
         self._compacted_revision = self.revision
         self._events.clear()
 
+    def make_copy(self):
+        """Return a copy of keys, leases and revision for ``restore``."""
+        return copy.deepcopy(
+            (self.revision, self.items, self._leases, self._next_lease)
+        )
+
+    def restore(self, older):
+        """Return to a copy; later revisions and ids are given out again."""
+        self.revision, self.items, self._leases, self._next_lease = (
+            copy.deepcopy(older)
+        )
+        self.era += 1
+        self._events = [e for e in self._events if e['rev'] <= self.revision]
+        self._signal_change()
+
     def describe(self, key):
         """Return an item as the store's answers show it."""
         item = self.items[key]
@@ -107,14 +127,13 @@
         :param after: revision.
         :param wait_s: limit in seconds.
         :returns: list of events, or None if the history no longer reaches
-            back to the revision.
+            back to the revision, or the store does not have it.
         """
-        if after < self._compacted_revision:
-            return None
+        era = self.era
         with trio.move_on_after(wait_s):
-            while self.revision <= after:
+            while self.revision == after and self.era == era:
                 await self._changed.wait()
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self.revision:
             return None
         return [e for e in self._events if e['rev'] > after]
 
@@ -122,5 +141,8 @@
         self._events.append(event)
         if len(self._events) > MAX_HISTORY_EVENTS:
             self._compacted_revision = self._events.pop(0)['rev']
+        self._signal_change()
+
+    def _signal_change(self):
         self._changed.set()
         self._changed = trio.Event()
--- a/standins/kv_server.py
+++ b/standins/kv_server.py
@@ -60,11 +60,15 @@
             if self.delay_s:
                 await trio.sleep(self.delay_s)
             if self.is_busy:
-                respond(messages.Reply(503))
+                era = (b'Store-Era', b'%d' % self.model.era)
+                respond(messages.Reply(503, (era,)))
                 return
             status, body = await self._call(request)
             data = json.dumps(body).encode()
-            headers = ((b'Content-Type', b'application/json'),)
+            headers = (
+                (b'Content-Type', b'application/json'),
+                (b'Store-Era', b'%d' % self.model.era),
+            )
             respond(messages.Reply(status, headers, data))
 
     async def _call(self, request):
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -1,4 +1,6 @@
-"""A fake of the store."""
+"""A fake of the store, and revisions for tests."""
+
+import dataclasses
 
 import trio
 
@@ -6,8 +8,13 @@
 from savorycross import errors
 
 
+def at(number, era=1):
+    """Return a Revision, of the first era unless another one is given."""
+    return item.Revision(era, number)
+
+
 class FakeStore:
-    """Holds items; can be unavailable, and can drop its history.
+    """Holds items; can be unavailable, restored, and can drop its history.
 
     ``is_down`` makes all calls fail, ``is_silent`` makes watches hang;
     without ``has_history``, all watches fail.
@@ -20,6 +27,7 @@
         self.is_silent = False
         self.has_history = True
         self.era = 1
+        self.page_size = 1000
         self.oldest_revision = 0
         self.calls = []
         self._events = []
@@ -28,41 +36,74 @@
     def put_value(self, key, value):
         """Write a key."""
         self.revision += 1
-        self.items[key] = item.Item(key, self.revision, value)
+        self.items[key] = item.Item(key, self._now, value)
         self._add_event(self.items[key])
 
     def remove(self, key):
         """Remove a key."""
         self.revision += 1
         del self.items[key]
-        self._add_event(item.Item(key, self.revision, removed=True))
+        self._add_event(item.Item(key, self._now, removed=True))
 
     def drop_history(self):
         """Drop all changes, so that older watches fail."""
         self.oldest_revision = self.revision
         self._events.clear()
 
+    def make_copy(self):
+        """Return a copy of all items for ``restore``."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copy):
+        """Return to a copy, and begin a new era."""
+        self.era += 1
+        self.revision, stored = copy
+        self.items = {
+            key: dataclasses.replace(
+                stored[key], revision=at(stored[key].revision.number, self.era)
+            )
+            for key in stored
+        }
+        self._events = [
+            dataclasses.replace(e, revision=at(e.revision.number, self.era))
+            for e in self._events
+            if e.revision.number <= self.revision
+        ]
+        self._changed.set()
+        self._changed = trio.Event()
+
+    @property
+    def _now(self):
+        return at(self.revision, self.era)
+
     async def read_page(self, after):
-        """Return all items."""
+        """Return the items of a page, in the order of their keys."""
         self._record_call('list')
         await trio.lowlevel.checkpoint()
-        items = tuple(self.items.values())
-        return item.Page(items, self.revision, era=self.era)
+        following = sorted(k for k in self.items if k > after)
+        listed = tuple(self.items[k] for k in following[: self.page_size])
+        return item.Page(listed, self._now, len(following) > len(listed))
 
     async def watch(self, revision, wait_s):
         """Return changes after a revision."""
         self._record_call('watch')
-        if revision < self.oldest_revision or not self.has_history:
+        is_known = self.oldest_revision <= revision.number <= self.revision
+        if not is_known or not self.has_history:
             await trio.sleep(0.004)
-            raise errors.HistoryGoneError(f'revision {revision}')
+            raise errors.HistoryGoneError(f'{revision}')
         if self.is_silent:
             await trio.sleep_forever()
+        era = self.era
         with trio.move_on_after(wait_s):
-            while self.revision <= revision:
+            while self.revision <= revision.number:
                 await self._changed.wait()
+                if self.era != era:
+                    raise errors.StoreUnavailableError('restored')
                 self._record_call('watch')
-        events = tuple(e for e in self._events if e.revision > revision)
-        return item.Page(events, self.revision, era=self.era)
+        events = tuple(
+            e for e in self._events if e.revision.number > revision.number
+        )
+        return item.Page(events, self._now)
 
     def _record_call(self, name):
         self.calls.append(name)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -68,7 +68,7 @@
     store.put_value('b', b'2')
     await trio.sleep(1)
     store.remove('a')
-    copy.revision = store.revision
+    copy.revision = fakes.at(store.revision)
     copy.is_complete = False
     store.is_down = False
     await trio.sleep(5)
@@ -183,13 +183,31 @@
     store = fakes.FakeStore()
     store.put_value('a', b'1')
     copy = mirror.Mirror(lambda key, value: None)
-    copy.revision = 7
+    copy.revision = fakes.at(1)
     log = recording_log.RecordingLog()
     tested = follower.Follower(store, copy, log, TIMING)
     nursery.start_soon(tested.run)
     await trio.sleep(1)
     (fields,) = log.fields('store.listed')
-    assert (fields['known_revision'], fields['revision']) == (7, 2)
+    assert (fields['known_revision'], fields['revision']) == (
+        fakes.at(1),
+        fakes.at(2),
+    )
+
+
+async def test_change_after_the_store_was_restored_is_applied(
+    world, autojump_clock
+):
+    store, copy, _ = world
+    older = store.make_copy()
+    store.put_value('b', b'confirmed')
+    store.put_value('c', b'lost')
+    await trio.sleep(1)
+    store.restore(older)
+    store.put_value('b', b'newer')
+    await trio.sleep(CHANGE_DEADLINE_S)
+    assert copy.items['b'].value == b'newer'
+    assert copy.revision == fakes.at(store.revision, era=2)
 
 
 async def test_restored_store_is_logged_with_both_eras(
@@ -201,8 +219,47 @@
     tested = follower.Follower(store, copy, log, TIMING)
     nursery.start_soon(tested.run)
     await trio.sleep(1)
-    store.era = 2
+    store.restore(store.make_copy())
     store.put_value('a', b'1')
     await trio.sleep(1)
     (fields,) = log.fields('store.restored')
-    assert (fields['known_era'], fields['era']) == (1, 2)
+    assert fields['known_revision'] == fakes.at(1)
+    assert fields['revision'] == fakes.at(2, era=2)
+
+
+async def test_listing_across_a_restore_is_read_again(nursery, autojump_clock):
+    store = fakes.FakeStore()
+    for key in 'abc':
+        store.put_value(key, b'1')
+    store.page_size = 2
+    older = store.make_copy()
+    store.remove('a')
+    read_page = store.read_page
+
+    async def restore_after_first_page(after):
+        page = await read_page(after)
+        if store.era == 1:
+            store.restore(older)
+        return page
+
+    store.read_page = restore_after_first_page
+    copy = mirror.Mirror(lambda key, value: None)
+    tested = follower.Follower(store, copy, null_log.NullLog(), TIMING)
+    nursery.start_soon(tested.run)
+    await trio.sleep(1)
+    assert sorted(copy.items) == ['a', 'b', 'c']
+    assert {i.revision.era for i in copy.items.values()} == {2}
+
+
+async def test_late_reply_of_the_era_before_changes_nothing(
+    world, autojump_clock
+):
+    store, copy, _ = world
+    store.restore(store.make_copy())
+    store.put_value('a', b'2')
+    await trio.sleep(1)
+    store.era = 1
+    store.put_value('a', b'late')
+    await trio.sleep(1)
+    assert copy.items['a'].value == b'2'
+    assert copy.revision.era == 2
--- a/tests/discovery/test_mirror_machine.py
+++ b/tests/discovery/test_mirror_machine.py
@@ -1,5 +1,6 @@
 """A mirror under any order of listings, watches, snapshots and outages."""
 
+import dataclasses
 from unittest import mock
 
 from hypothesis import settings
@@ -25,8 +26,11 @@
     def __init__(self):
         super().__init__()
         self.now = 100.0
+        self.era = 1
         self.history = []
+        self.writes = 0
         self.stored = {}
+        self.copies = []
         self.peer = mirror.Mirror(lambda key, changed: None)
         self.notified = {}
         self.newest = {}
@@ -44,15 +48,24 @@
 
     @property
     def revision(self):
-        """Return the revision of the store."""
-        return len(self.history)
+        """Return the Revision of the store."""
+        return self._at(len(self.history))
+
+    def _at(self, number):
+        return item.Revision(self.era, number)
+
+    def _changes_after(self, revision):
+        """Return the changes that a watch returns, or None."""
+        if revision.era != self.era or revision.number > len(self.history):
+            return None
+        return self.history[revision.number :]
 
     def _on_change(self, key, changed):
         # The mirror catches errors of its callback, so none is raised here.
         if changed is None:
             self.notified.pop(key, None)
             return
-        if changed.revision <= self.newest.get(key, 0):
+        if changed.revision <= self.newest.get(key, item.NO_REVISION):
             self.outdated.append((key, changed.revision))
         self.newest[key] = changed.revision
         self.notified[key] = changed.value
@@ -60,7 +73,9 @@
     @stateful.rule(key=strategies.sampled_from(KEYS))
     def write(self, key):
         """Write a key."""
-        written = item.Item(key, self.revision + 1, b'%d' % self.revision)
+        self.writes += 1
+        number = len(self.history) + 1
+        written = item.Item(key, self._at(number), b'%d' % self.writes)
         self.history.append(written)
         self.stored[key] = written
 
@@ -70,21 +85,42 @@
         """Remove a key."""
         key = data.draw(strategies.sampled_from(sorted(self.stored)))
         del self.stored[key]
-        self.history.append(item.Item(key, self.revision + 1, b'', True))
+        number = len(self.history) + 1
+        self.history.append(item.Item(key, self._at(number), b'', True))
+
+    @stateful.rule()
+    def back_up(self):
+        """Make a copy of the store."""
+        self.copies.append((list(self.history), dict(self.stored)))
+
+    @stateful.precondition(lambda self: self.copies)
+    @stateful.rule(data=strategies.data())
+    def restore(self, data):
+        """Restore the store from a copy, in a new era."""
+        history, stored = data.draw(strategies.sampled_from(self.copies))
+        self.era += 1
+        self.history = [self._in_this_era(i) for i in history]
+        self.stored = {k: self._in_this_era(i) for k, i in stored.items()}
+
+    def _in_this_era(self, known):
+        return dataclasses.replace(
+            known, revision=self._at(known.revision.number)
+        )
 
     @stateful.rule(n=strategies.integers(1, 8))
     def peer_watches(self, n):
         """Let the peer see changes; it lists if it has to."""
-        if not self.peer.is_complete:
+        changes = self._changes_after(self.peer.revision)
+        if not self.peer.is_complete or changes is None:
             self._list(self.peer, 0)
-        for change in self.history[self.peer.revision :][:n]:
+        for change in self._changes_after(self.peer.revision)[:n]:
             self.peer.apply(change, self.now)
             self.peer.revision = change.revision
 
     @stateful.rule(n=strategies.integers(1, 8))
     def peer_misses_removals(self, n):
         """Let the peer see changes, but for removals."""
-        for change in self.history[self.peer.revision :][:n]:
+        for change in (self._changes_after(self.peer.revision) or [])[:n]:
             if not change.removed:
                 self.peer.apply(change, self.now)
             self.peer.revision = change.revision
@@ -107,10 +143,14 @@
 
     @stateful.rule()
     def watch(self):
-        """Apply all changes since the mirror's revision."""
-        for change in self.history[self.mirror.revision :]:
+        """Apply all changes since the mirror's revision; list if need be."""
+        changes = self._changes_after(self.mirror.revision)
+        if changes is None:
+            self.list_all()
+            return
+        for change in changes:
             self.mirror.apply(change, self.now)
-        self.mirror.revision = self.revision
+        self.mirror.revision = max(self.revision, self.mirror.revision)
 
     @stateful.rule(lag=strategies.integers(0, 5))
     def list_all(self, lag=0):
@@ -123,7 +163,7 @@
     def _list(self, target, lag):
         for stored in self.stored.values():
             target.apply(stored, self.now)
-        first_revision = max(self.revision - lag, 0)
+        first_revision = self._at(max(len(self.history) - lag, 0))
         target.retain(set(self.stored), first_revision, self.now)
         target.revision = max(first_revision, target.revision)
         target.is_complete = True
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -11,6 +11,7 @@
 from savorycross.fleet import mirror_sync
 from savorycross.fleet import peer_registry
 from savorycross.wire import server
+from tests.discovery import fakes
 from tests.fleet import test_peer_registry
 from tests import null_log
 from tests import recording_log
@@ -71,19 +72,19 @@
 async def _copy_mirror(nursery, is_complete, log=null_log.NullLog()):
     """Return a mirror with an item of its own, after a copy from a peer."""
     theirs = mirror.Mirror(lambda key, value: None)
-    theirs.apply(item.Item('a', 3, b'x'), 0.0)
+    theirs.apply(item.Item('a', fakes.at(3), b'x'), 0.0)
     if is_complete:
-        theirs.retain({'a'}, 9, 0.0)
+        theirs.retain({'a'}, fakes.at(9), 0.0)
     else:
-        theirs.forget_removals(9)
-    theirs.revision = 9
+        theirs.forget_removals(fakes.at(9))
+    theirs.revision = fakes.at(9)
     theirs.is_complete = is_complete
     peer_server = server.Server(mirror_sync.make_handler(theirs), nursery)
     address = ('127.0.0.1', 20931)
     nursery.start_soon(peer_server.run, address)
     await trio.testing.wait_all_tasks_blocked()
     mine = mirror.Mirror(lambda key, value: None)
-    mine.apply(item.Item('gone', 2, b'x'), 0.0)
+    mine.apply(item.Item('gone', fakes.at(2), b'x'), 0.0)
     mine.is_complete = True
     tested = mirror_sync.MirrorSynchronizer(
         mine,
@@ -103,7 +104,7 @@
 async def test_copy_of_a_complete_mirror_removes_items_it_lacks(nursery):
     mine = await _copy_mirror(nursery, is_complete=True)
     assert sorted(mine.items) == ['a']
-    assert mine.revision == 9
+    assert mine.revision == fakes.at(9)
 
 
 async def test_copy_tells_for_how_long_the_instance_was_behind(nursery):
@@ -167,12 +168,12 @@
 def test_copy_of_changes_leaves_out_what_did_not_change():
     theirs = mirror.Mirror(lambda key, value: None)
     for revision in range(1, 500):
-        theirs.apply(item.Item(f'k{revision}', revision, b'x'), 0.0)
-    theirs.apply(item.Item('k7', 500, removed=True), 0.0)
-    theirs.revision = 500
-    snapshot = mirror_sync.make_snapshot(theirs, 498, 0.0)
+        theirs.apply(item.Item(f'k{revision}', fakes.at(revision), b'x'), 0.0)
+    theirs.apply(item.Item('k7', fakes.at(500), removed=True), 0.0)
+    theirs.revision = fakes.at(500)
+    snapshot = mirror_sync.make_snapshot(theirs, fakes.at(498), 0.0)
     assert [i[0] for i in snapshot.items] == ['k499']
-    assert snapshot.removals == [('k7', 500)]
+    assert snapshot.removals == [('k7', fakes.at(500))]
     assert snapshot.is_partial
 
 
@@ -189,8 +190,8 @@
         test_peer_registry._peer('a0', 'a'), null_log.NullLog()
     )
     theirs = mirror.Mirror(lambda key, value: None)
-    theirs.apply(item.Item('a', 9, b'x'), 0.0)
-    theirs.revision = 9
+    theirs.apply(item.Item('a', fakes.at(9), b'x'), 0.0)
+    theirs.revision = fakes.at(9)
     handlers = (mirror_sync.make_handler(theirs), _stay_silent)
     now = trio.current_time()
     for port, name in ((20932, 'a1'), (20933, 'a2')):
@@ -200,12 +201,12 @@
         registry.register(peer, now)
         registry.on_heartbeat(
             heartbeat.Heartbeat(
-                heartbeat.FORMAT, peer.id, heartbeat.READY, 9, True
+                heartbeat.FORMAT, peer.id, heartbeat.READY, 9, True, era=1
             ),
             peer.address,
             now,
         )
-    first = registry.find_ahead(0, now).peer
+    first = registry.find_ahead(item.NO_REVISION, now).peer
     for port in (20932, 20933):
         is_first = first.address[1] == port
         peer_server = server.Server(handlers[is_first], nursery)
@@ -224,3 +225,44 @@
     nursery.start_soon(tested.run)
     await trio.sleep(1.4)
     assert sorted(mine.items) == ['a']
+
+
+async def test_mirror_of_a_newer_era_is_copied_whole(nursery):
+    theirs = mirror.Mirror(lambda key, value: None)
+    theirs.apply(item.Item('a', fakes.at(3, era=2), b'x'), 0.0)
+    theirs.retain({'a'}, fakes.at(5, era=2), 0.0)
+    theirs.revision = fakes.at(5, era=2)
+    theirs.is_complete = True
+    mine = mirror.Mirror(lambda key, value: None)
+    mine.apply(item.Item('a', fakes.at(8), b'of the era before'), 0.0)
+    mine.apply(item.Item('gone', fakes.at(9), b'x'), 0.0)
+    mine.revision = fakes.at(9)
+    snapshot = mirror_sync.make_snapshot(theirs, mine.revision, 0.0)
+    assert not snapshot.is_partial
+    tested = mirror_sync.MirrorSynchronizer(
+        mine, None, None, None, null_log.NullLog(), lambda: None, nursery
+    )
+    peer = test_peer_registry._peer('b0')
+    assert tested._apply_snapshot(snapshot, FakePeerState(peer, True))
+    mine.apply_due_removals(trio.current_time() + mirror.REMOVAL_HOLD_S + 1)
+    assert {k: i.value for k, i in mine.items.items()} == {'a': b'x'}
+
+
+async def test_mirror_of_the_era_before_is_not_copied(nursery):
+    theirs = mirror.Mirror(lambda key, value: None)
+    theirs.apply(item.Item('a', fakes.at(9), b'x'), 0.0)
+    theirs.revision = fakes.at(9)
+    mine = mirror.Mirror(lambda key, value: None)
+    mine.revision = fakes.at(5, era=2)
+    tested = mirror_sync.MirrorSynchronizer(
+        mine, None, None, None, null_log.NullLog(), lambda: None, nursery
+    )
+    snapshot = mirror_sync.make_snapshot(theirs, None, 0.0)
+    peer = test_peer_registry._peer('b0')
+    assert not tested._apply_snapshot(snapshot, FakePeerState(peer, True))
+    assert not mine.items
+
+
+@pytest.mark.parametrize('text', [b'', b'5', b'2.', b'.5', b'2.x', b'2.5.1'])
+def test_invalid_revision_gets_all_items(text):
+    assert mirror_sync._parse_revision(text) is None
--- a/tests/fleet/test_peer_registry.py
+++ b/tests/fleet/test_peer_registry.py
@@ -2,6 +2,9 @@
 
 import random
 
+import msgspec
+
+from savorycross.discovery import item
 from savorycross.fleet import heartbeat
 from savorycross.fleet import peer_registry
 from tests import null_log
@@ -170,3 +173,52 @@
     assert registry.pending_addresses() == {('10.0.0.7', 7740)}
     registry.tick(peer_registry.INTRODUCTION_S + 1.0)
     assert not registry.pending_addresses()
+
+
+def _hear(registry, name, revision, era=None):
+    """Register a peer, and let the registry receive its heartbeat."""
+    peer = _peer(name)
+    registry.register(peer, 100.0)
+    fields = {} if era is None else {'era': era}
+    message = heartbeat.Heartbeat(
+        heartbeat.FORMAT, peer.id, heartbeat.READY, revision, True, **fields
+    )
+    registry.on_heartbeat(message, peer.address, 100.0)
+
+
+def test_peer_of_a_newer_era_is_ahead_whatever_its_revision():
+    registry = peer_registry.PeerRegistry(_peer('a0'), null_log.NullLog())
+    _hear(registry, 'a1', 500, era=1)
+    _hear(registry, 'a2', 40, era=2)
+    ahead = registry.find_ahead(item.Revision(1, 400), 100.1)
+    assert ahead.peer.name == 'a2'
+    assert registry.find_ahead(item.Revision(2, 40), 100.1) is None
+
+
+def test_peer_that_knows_no_eras_is_never_ahead_of_one_that_does():
+    registry = peer_registry.PeerRegistry(_peer('a0'), null_log.NullLog())
+    _hear(registry, 'a1', 500)
+    assert registry.find_ahead(item.Revision(1, 4), 100.1) is None
+
+
+class HeartbeatWithoutEra(msgspec.Struct, frozen=True, array_like=True):
+    """The heartbeat that instances sent before they knew eras."""
+
+    format: int
+    sender: int
+    flags: int
+    revision: int
+    has_store: bool
+    rows: tuple[heartbeat.StatusRow, ...] = ()
+    asked: tuple[int, ...] = ()
+    peers: tuple[heartbeat.Peer, ...] = ()
+    load: int = 0
+
+
+def test_instances_with_and_without_eras_hear_each_other():
+    older = HeartbeatWithoutEra(heartbeat.FORMAT, 7, 1, 5, True)
+    data = msgspec.msgpack.encode(older)
+    assert heartbeat.decode(data).era == 0
+    newer = heartbeat.Heartbeat(heartbeat.FORMAT, 7, 1, 5, True, era=3)
+    data = heartbeat.encode(newer)
+    assert msgspec.msgpack.decode(data, type=HeartbeatWithoutEra) == older
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -12,6 +12,7 @@
 import trio
 
 from savorycross.delegate import protocol
+from savorycross.discovery import item
 from savorycross import errors
 from savorycross.fleet import heartbeat
 from savorycross.fleet import heartbeat_transport
@@ -64,6 +65,9 @@
     b'"kind":"idempotent","timeout_ms":500,"service":"s"}],'
     b'"services":[{"name":"s","max_conns":5}]}'
 )
+SNAPSHOT = mirror_sync.Snapshot(
+    item.Revision(2, 3), [('k', item.Revision(2, 1), b'v')]
+)
 PAGE = b'{"current_rev":1,"items":[{"key":"a","rev":1,"value":"eA=="}]}'
 
 
@@ -73,7 +77,7 @@
 
 def _decode_page(data):
     page = store._decode(messages.Reply(200, (), data), store._Range)
-    return store._to_items(page.items)
+    return store._to_items(page.items, 1)
 
 
 DECODERS = {
@@ -83,7 +87,7 @@
     'results': (protocol.decode_results, protocol.encode(RESULTS)),
     'snapshot': (
         _decode_snapshot,
-        msgspec.msgpack.encode(mirror_sync.Snapshot(3, [('k', 1, b'v')])),
+        msgspec.msgpack.encode(SNAPSHOT),
     ),
     'entry': (lambda data: keys.decode_target('servers/x', data), ENTRY),
     'configuration': (configuration.decode_configuration, CONFIGURATION),
