Let the first watch after an interruption return at once

Callers could be served by an old version for 5 s after a restore: in a new era that has reached the number again that the instance knows, a watch from that number is accepted and waits, 4.3 s if nothing changes, and only its reply tells the era.

Cause: after an outage, and when an instance begins to watch, the watch continued from what was known without a look at the era. Change: the first watch of each series waits 1 ms; one of another era leads to a listing. This costs one call after each interruption.

Evidence: two tests in tests/discovery/test_follower.py, both failed before: an era that reached the same number again is noticed; an instance that begins to watch notices a restore.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -14,6 +14,9 @@
 # applied.
 APPLY_MARGIN_S = 0.5
 MIN_WAIT_S = 1.0
+# The first watch after an interruption returns at once, to tell whether the
+# store still has the history that the next one continues.
+CATCH_UP_WAIT_S = 0.001
 MAX_WAIT_S = 20.0
 # Pauses between watches let one call read several changes. The pause of each
 # instance grows with the number of those that watch, up to this share of the
@@ -140,12 +143,15 @@
         :returns: False.
         """
         with trio.CancelScope() as self._scope:
+            wait_s = CATCH_UP_WAIT_S
             while True:
                 if not self._mirror.is_complete:
                     await self._list()
                 if self._is_on_duty(trio.current_time()):
-                    await self._watch()
+                    await self._watch(wait_s)
+                    wait_s = self._timing.wait_s
                 else:
+                    wait_s = CATCH_UP_WAIT_S
                     await trio.sleep(DUTY_CHECK_INTERVAL_S)
         return False
 
@@ -177,8 +183,7 @@
             known_revision=known_revision,
         )
 
-    async def _watch(self):
-        wait_s = self._timing.wait_s
+    async def _watch(self, wait_s):
         self.is_watching = True
         try:
             with trio.move_on_after(wait_s + WATCH_GRACE_S) as scope:
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -263,3 +263,47 @@
     await trio.sleep(1)
     assert copy.items['a'].value == b'2'
     assert copy.revision.era == 2
+
+
+async def test_era_that_reached_the_same_number_again_is_noticed(
+    world, autojump_clock
+):
+    store, copy, _ = world
+    older = store.make_copy()
+    store.put_value('a', b'confirmed')
+    await trio.sleep(1)
+    store.is_down = True
+    store.restore(older)
+    store.put_value('a', b'another')
+    await trio.sleep(2)
+    store.is_down = False
+    await trio.sleep(CHANGE_DEADLINE_S / 2)
+    assert copy.items['a'].value == b'another'
+    assert copy.revision == fakes.at(store.revision, era=2)
+
+
+async def test_instance_that_begins_to_watch_notices_a_restore(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    store.put_value('a', b'1')
+    copy = mirror.Mirror(lambda key, value: None)
+    is_on_duty = True
+    tested = follower.Follower(
+        store,
+        copy,
+        null_log.NullLog(),
+        TIMING,
+        is_on_duty=lambda now: is_on_duty,
+    )
+    nursery.start_soon(tested.run)
+    older = store.make_copy()
+    store.put_value('a', b'confirmed')
+    await trio.sleep(1)
+    is_on_duty = False
+    await trio.sleep(TIMING.wait_s)
+    store.restore(older)
+    store.put_value('a', b'another')
+    is_on_duty = True
+    await trio.sleep(CHANGE_DEADLINE_S / 2)
+    assert copy.items['a'].value == b'another'
