Announce an instance anew once it sees that the store was restored

What the instances themselves had written is gone after a restore: their announcements and leases. Instances that started later did not find them in the store for up to 8 s, and if the store gives the id of a lease out again, an instance renewed another one's lease as its own, never wrote its key again, and removed the other's key as it stopped.

Cause: a lease was a plain id that counted as held for as long as the store knew it. Change: a Lease names the era in which it was opened; a reply of another era ends it. An instance whose mirror has reached a later era opens a new lease at once and does not end the old one; a key that is found missing is written at once, not at the next renewal.

--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -52,6 +52,18 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """Names a lease.
+
+    :param era: era of the store in which it was opened; another one may
+        know nothing of it, or give its id to another instance.
+    """
+
+    id: int
+    era: int
+
+
 class ItemStore(typing.Protocol):
     """The calls to the store that instances make.
 
@@ -71,20 +83,20 @@
         :raises HistoryGoneError: if the store has dropped these changes.
         """
 
-    async def open_lease(self, ttl_s: float) -> int:
-        """Return the id of a new lease that ends after ``ttl_s`` seconds."""
+    async def open_lease(self, ttl_s: float) -> Lease:
+        """Return a new Lease that ends after ``ttl_s`` seconds."""
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease for another time to live.
 
-        :raises LeaseEndedError: if it has ended.
+        :raises LeaseEndedError: if it has ended, or its era has.
         """
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease, which removes its keys."""
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
         """Write a key that lives as long as a lease.
 
-        :raises LeaseEndedError: if the lease has ended.
+        :raises LeaseEndedError: if the lease has ended, or its era has.
         """
--- a/savorycross/fleet/announcer.py
+++ b/savorycross/fleet/announcer.py
@@ -40,10 +40,24 @@
         self._on_failure = on_failure
         self._lease = None
         self._is_key_written = False
+        self._wake = trio.Event()
 
     def rewrite_key(self):
-        """Write the key again at the next renewal, as the store lost it."""
+        """Write the key again, as the store lost it."""
         self._is_key_written = False
+        self._wake.set()
+
+    def note_era(self, era):
+        """Announce the instance anew if the store is in a later era.
+
+        The lease is not ended: the id may be that of another instance now.
+
+        :param era: era in which this instance has seen the store.
+        """
+        if self._lease is None or era <= self._lease.era:
+            return
+        self._lease = None
+        self._wake.set()
 
     async def run(self):
         """Write the key and renew its lease until cancelled."""
@@ -53,7 +67,7 @@
                 await self._keep_key()
                 failures = 0
                 self._on_answer()
-                await trio.sleep(RENEW_INTERVAL_S)
+                await self._wait_for_renewal()
             except errors.LeaseEndedError:
                 self._lease = None
                 self._is_key_written = False
@@ -67,6 +81,13 @@
                 failures += 1
                 await trio.sleep(delay_s)
 
+    async def _wait_for_renewal(self):
+        """Wait until the lease is to be renewed, or the key written again."""
+        with trio.move_on_after(RENEW_INTERVAL_S):
+            await self._wake.wait()
+        if self._wake.is_set():
+            self._wake = trio.Event()
+
     async def withdraw(self):
         """End the lease, which removes the key."""
         lease, self._lease = self._lease, None
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -294,6 +294,7 @@
         }
 
     def _on_synced(self):
+        self._announcer.note_era(self._mirror.revision.era)
         configuration = self._gateway.configuration
         if configuration is None:
             return
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -84,31 +84,44 @@
         )
 
     async def open_lease(self, ttl_s):
-        """Return the id of a new lease that ends after ``ttl_s`` seconds."""
+        """Return a new Lease that ends after ``ttl_s`` seconds."""
         body = {'ttl_ms': int(ttl_s * 1000)}
         reply = await self._call(b'POST', '/v1/kv-lease', body=body)
-        return _decode(reply, _Lease).lease
+        id_ = _decode(reply, _Lease).lease
+        return item.Lease(id_, self._read_era(reply))
 
     async def renew_lease(self, lease):
         """Renew a lease for another time to live."""
-        reply = await self._call(b'POST', f'/v1/kv-keep/{lease}', body={})
-        _check_lease(reply, lease)
+        reply = await self._call(b'POST', f'/v1/kv-keep/{lease.id}', body={})
+        self._check_lease(reply, lease)
 
     async def end_lease(self, lease):
         """End a lease, which removes its keys."""
-        reply = await self._call(b'DELETE', f'/v1/kv-lease-end/{lease}')
-        _check_lease(reply, lease)
+        reply = await self._call(b'DELETE', f'/v1/kv-lease-end/{lease.id}')
+        self._check_lease(reply, lease)
 
     async def put(self, key, value, lease):
         """Write a key that lives as long as a lease."""
         put = {
             'key': key,
             'value': base64.b64encode(value).decode(),
-            'lease': lease,
+            'lease': lease.id,
         }
         body = {'if_rev': [], 'puts': [put], 'remove': []}
         reply = await self._call(b'POST', '/v1/kv-txn', body=body)
-        _check_lease(reply, lease)
+        self._check_lease(reply, lease)
+
+    def _check_lease(self, reply, lease):
+        """Check a reply to a call that names a lease.
+
+        :raises LeaseEndedError: if the lease, or its era, has ended.
+        :raises StoreUnavailableError: if the call failed.
+        """
+        era = self._read_era(reply)
+        if reply.status == 404 or era != lease.era:
+            raise errors.LeaseEndedError(f'{lease}, era is {era}')
+        if reply.status not in (200, 204):
+            raise errors.StoreUnavailableError(f'status {reply.status}')
 
     def _read_era(self, reply):
         """Return the era that a reply names, or that of the one before."""
@@ -167,10 +180,3 @@
         return msgspec.json.decode(reply.body, type=type_)
     except ValueError as exc:
         raise errors.StoreUnavailableError(f'invalid reply: {exc}') from exc
-
-
-def _check_lease(reply, lease):
-    if reply.status == 404:
-        raise errors.LeaseEndedError(f'lease {lease}')
-    if reply.status not in (200, 204):
-        raise errors.StoreUnavailableError(f'status {reply.status}')
--- /dev/null
+++ b/tests/fleet/test_announcer.py
@@ -0,0 +1,84 @@
+"""The announcement of an instance in the store, against a stand-in."""
+
+import pytest
+import trio
+
+from savorycross.fleet import announcer
+from savorycross.platform import store
+from standins import kv_model
+from standins import kv_server
+from tests.fleet import test_peer_registry
+from tests import null_log
+
+ADDRESS = ('127.0.0.1', 20951)
+KEY = 'savorycross/instances/a1'
+OTHER_KEY = 'savorycross/instances/a2'
+
+
+@pytest.fixture
+async def world(nursery):
+    """Return the model of a store and an announcer that uses it."""
+    model = kv_model.KvModel()
+    served = kv_server.KvServer(model, nursery)
+    nursery.start_soon(served.run, ADDRESS)
+    await trio.testing.wait_all_tasks_blocked()
+    client = store.PlatformStore(ADDRESS, nursery)
+    own = test_peer_registry._peer('a1')
+    return model, announcer.Announcer(client, KEY, own, null_log.NullLog())
+
+
+async def _wait_for(model, key):
+    with trio.fail_after(announcer.RENEW_INTERVAL_S / 2):
+        while key not in model.items:
+            await trio.sleep(0.02)
+
+
+async def test_instance_is_announced_again_once_a_restore_is_seen(
+    world, nursery
+):
+    model, tested = world
+    older = model.make_copy()
+    nursery.start_soon(tested.run)
+    await _wait_for(model, KEY)
+    model.restore(older)
+    assert KEY not in model.items
+    tested.note_era(2)
+    await _wait_for(model, KEY)
+
+
+async def test_lost_announcement_is_written_again_at_once(world, nursery):
+    model, tested = world
+    nursery.start_soon(tested.run)
+    await _wait_for(model, KEY)
+    model.remove(KEY)
+    tested.rewrite_key()
+    await _wait_for(model, KEY)
+
+
+async def _give_lease_to_another(model, tested):
+    """Restore the store, and give the announcer's lease id out again."""
+    older = model.make_copy()
+    await tested._keep_key()
+    model.restore(older)
+    lease = model.open_lease(60.0, trio.current_time())
+    assert lease == tested._lease.id
+    model.put(OTHER_KEY, b'other', lease)
+
+
+async def test_lease_of_another_instance_is_not_taken_for_the_own(
+    world, nursery, monkeypatch
+):
+    monkeypatch.setattr(announcer, 'RETRY_INTERVAL_S', 0.05)
+    model, tested = world
+    await _give_lease_to_another(model, tested)
+    nursery.start_soon(tested.run)
+    await _wait_for(model, KEY)
+    assert model.items[KEY].lease != model.items[OTHER_KEY].lease
+
+
+async def test_withdrawal_ends_no_lease_of_another_instance(world):
+    model, tested = world
+    await _give_lease_to_another(model, tested)
+    tested.note_era(2)
+    await tested.withdraw()
+    assert OTHER_KEY in model.items
