Keep what is newer than a restored store shows, until it is written again

Between a restore and the moment at which the operators and targets have written again what the store lost, instances took what the copy shows as news: a target that is draining was ready again, one that had left was in use again, a data centre was evacuated again, and the mirror, which others copy, held an older configuration than the one in force.

Cause: a listing counted as newer than all that is known, item by item. Change: in the first listing of an era, a value that its own writer wrote before the known one (the version of a configuration, the count of a target's writes since its start) does not replace it, and a key whose removal is known is held back for 4 s, unless it is written or removed before.

--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -1,11 +1,16 @@
 """A local copy of the store's items."""
 
+import dataclasses
+
 from savorycross.discovery import item as items
 from savorycross.events import failure
 
 # Entries that expired in an outage are written again within 2 s of its end;
 # the rest lets the last of them arrive.
 REMOVAL_HOLD_S = 2.2
+# A restored store may show keys again that had been removed. Owners remove
+# them again, or the store does once nobody has renewed them for 3.6 s.
+REVIVAL_HOLD_S = 4.0
 # Tombstones identify older items that arrive late. They accumulate, as new
 # targets come under new keys, so the oldest are dropped.
 MAX_TOMBSTONES = 2000
@@ -15,7 +20,10 @@
     """Holds the newest known item of each key.
 
     Removals during or just after an outage of the store are held back for a
-    while, as a live owner writes its entry again.
+    while, as a live owner writes its entry again. A store that was restored
+    from an older copy shows what was known before; until the writers have
+    written again what it lost, the mirror keeps newer values, and holds keys
+    back that had been removed.
 
     ``revision`` is the store's Revision that the mirror has reached,
     ``is_complete`` tells whether a listing has filled it. Removals after
@@ -23,15 +31,20 @@
 
     :param on_change: called with the key and its new Item, or None once it
         is removed.
+    :param is_older: callable that takes a key and two of its values, and
+        returns whether their writer wrote the first one before the second.
     """
 
-    def __init__(self, on_change):
+    def __init__(self, on_change, is_older=lambda key, value, other: False):
         self.revision = items.NO_REVISION
         self.removals_since = items.NO_REVISION
         self.is_complete = False
         self.items = {}
         self._on_change = on_change
+        self._is_older = is_older
         self._tombstones = {}
+        self._held_revivals = {}
+        self._revive_at = 0.0
         self._held_removals = {}
         self._hold_until = 0.0
 
@@ -41,18 +54,47 @@
         known = self.items.get(key)
         if known is not None and known.revision >= item.revision:
             return
-        if self._tombstones.get(key, items.NO_REVISION) >= item.revision:
-            return
-        if not item.removed:
-            self._held_removals.pop(key, None)
-            self._tombstones.pop(key, None)
-            self.items[key] = item
-            if known is None or known.value != item.value:
-                self._notify(key, item)
+        removed_at = self._tombstones.get(key, items.NO_REVISION)
+        if removed_at >= item.revision:
             return
-        self._add_tombstone(key, item.revision)
-        if known is not None:
-            self._remove(key, now)
+        self._held_revivals.pop(key, None)
+        if item.removed:
+            self._add_tombstone(key, item.revision)
+            if known is not None:
+                self._remove(key, now)
+        elif self._is_revived(item, removed_at):
+            self._held_revivals[key] = item
+            self._revive_at = now + REVIVAL_HOLD_S
+        else:
+            self._put(item, known)
+
+    def _is_revived(self, item, removed_at):
+        """Return whether a restored store shows a removed item again.
+
+        What it shows later was written later.
+
+        :param removed_at: Revision of the item's removal.
+        """
+        is_first_listing = self.revision.era < item.revision.era
+        return is_first_listing and 0 < removed_at.era < item.revision.era
+
+    def _put(self, item, known):
+        """Store an item.
+
+        :param known: Item that is known so far, or None.
+        """
+        key = item.key
+        if (
+            known is not None
+            and known.revision.era < item.revision.era
+            and self._is_older(key, item.value, known.value)
+        ):
+            item = dataclasses.replace(item, value=known.value)
+        self._held_removals.pop(key, None)
+        self._tombstones.pop(key, None)
+        self.items[key] = item
+        if known is None or known.value != item.value:
+            self._notify(key, item)
 
     def retain(self, keys, revision, now):
         """Remove all items but those of the keys of a complete listing.
@@ -72,6 +114,9 @@
         ]
         for key in removed:
             self._remove(key, now)
+        for key in self._held_revivals.keys() - keys:
+            if self._held_revivals[key].revision <= revision:
+                del self._held_revivals[key]
         self.forget_removals(revision)
 
     def forget_removals(self, revision):
@@ -86,11 +131,7 @@
         """
         if revision < self.removals_since:
             return None
-        changes = [
-            i
-            for i in self.items.values()
-            if i.revision > revision and i.key not in self._held_removals
-        ]
+        changes = [i for i in self.list_items() if i.revision > revision]
         changes += [
             items.Item(key, removed_at, removed=True)
             for key, removed_at in self._tombstones.items()
@@ -99,10 +140,11 @@
         return changes
 
     def list_items(self):
-        """Return the Items, without those whose removal is held back."""
-        return [
+        """Return the Items in the store, those held back included."""
+        listed = [
             i for i in self.items.values() if i.key not in self._held_removals
         ]
+        return [*listed, *self._held_revivals.values()]
 
     def hold_remaining_s(self, now):
         """Return the seconds for which removals are still held back."""
@@ -115,8 +157,12 @@
         """
         self._hold_until = max(self._hold_until, now + hold_s)
 
-    def apply_due_removals(self, now):
-        """Apply the removals that are due, except to items changed since."""
+    def apply_held_changes(self, now):
+        """Apply what is due and has not changed since it was held back."""
+        if self._held_revivals and now >= self._revive_at:
+            due, self._held_revivals = self._held_revivals, {}
+            for item in due.values():
+                self._put(item, None)
         if not self._held_removals or now < self._hold_until:
             return
         due, self._held_removals = self._held_removals, {}
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -158,7 +158,9 @@
             trio.current_time,
             self._on_peer_item,
         )
-        self._mirror = mirrors.Mirror(self._store_changes.apply)
+        self._mirror = mirrors.Mirror(
+            self._store_changes.apply, self._adapter.keys.is_older
+        )
         self._store = self._adapter.make_store(
             self._settings.store_address, self._nursery
         )
@@ -338,7 +340,7 @@
             now = trio.current_time()
             self._target_registry.prune(now)
             self._engine.prune(now)
-            self._mirror.apply_due_removals(now)
+            self._mirror.apply_held_changes(now)
             self._loop_load.sample(now)
             self._update_shares()
             total_s = _read_suspended_s()
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -24,9 +24,16 @@
     # Milliseconds for which a target stays slow after its start.
     warmup_ms: float = 0.0
     born: int = 0
+    # Number of the target's writes since its start.
+    seq: int = 0
+
+
+class _Version(msgspec.Struct, frozen=True):
+    version: int
 
 
 _decoder = msgspec.json.Decoder(_Entry)
+_version_decoder = msgspec.json.Decoder(_Version)
 
 
 def is_target(key):
@@ -77,6 +84,23 @@
     )
 
 
+def is_older(key, value, other):
+    """Return whether the writer of a key wrote a value before another one.
+
+    :returns: False too if the values do not tell.
+    """
+    try:
+        if key == CONFIGURATION:
+            decode = _version_decoder.decode
+            return decode(value).version < decode(other).version
+        if is_target(key):
+            first, second = _decoder.decode(value), _decoder.decode(other)
+            return first.born == second.born and first.seq < second.seq
+    except ValueError:
+        return False
+    return False
+
+
 def target_id(key):
     """Return the id of the target whose entry a key holds."""
     return key.removeprefix(_TARGET_PREFIX)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -40,7 +40,7 @@
     await trio.sleep(3)
     store.is_down = False
     await trio.sleep(3)
-    copy.apply_due_removals(trio.current_time())
+    copy.apply_held_changes(trio.current_time())
     assert sorted(copy.items) == ['b']
 
 
@@ -72,7 +72,7 @@
     copy.is_complete = False
     store.is_down = False
     await trio.sleep(5)
-    copy.apply_due_removals(trio.current_time())
+    copy.apply_held_changes(trio.current_time())
     assert sorted(copy.items) == ['b']
 
 
--- a/tests/discovery/test_mirror.py
+++ b/tests/discovery/test_mirror.py
@@ -46,10 +46,10 @@
     tested.hold_removals(10.0)
     tested.apply(item.Item('a', fakes.at(7), removed=True), 10.5)
     tested.apply(item.Item('b', fakes.at(8), removed=True), 10.5)
-    tested.apply_due_removals(11.9)
+    tested.apply_held_changes(11.9)
     assert len(changes) == 2
     tested.apply(item.Item('a', fakes.at(9), b'x'), 12.0)
-    tested.apply_due_removals(10.0 + mirror.REMOVAL_HOLD_S + 0.1)
+    tested.apply_held_changes(10.0 + mirror.REMOVAL_HOLD_S + 0.1)
     assert changes[2:] == [('b', None)]
 
 
@@ -85,3 +85,95 @@
     newest = f'k{mirror.MAX_TOMBSTONES + 49}'
     tested.apply(item.Item(newest, fakes.at(3), b'late'), 0.0)
     assert newest not in tested.items
+
+
+def _restore(tested, *listed, now=10.0):
+    """Let a mirror see the first listing of a new era, as a Follower does."""
+    era = tested.revision.era + 1
+    for number, (key, value) in enumerate(listed, 1):
+        tested.apply(item.Item(key, fakes.at(number, era), value), now)
+    newest = fakes.at(len(listed), era)
+    tested.retain({key for key, _ in listed}, newest, now)
+    tested.revision = newest
+
+
+def _is_shorter(key, value, other):
+    return len(value) < len(other)
+
+
+def _make_with_order():
+    """Return a mirror whose writers write longer values each time."""
+    changes = Changes()
+    tested = mirror.Mirror(changes, _is_shorter)
+    tested.apply(item.Item('a', fakes.at(5), b'newest'), 0.0)
+    tested.revision = fakes.at(5)
+    return tested, changes
+
+
+def test_older_value_of_a_restored_store_does_not_replace_a_newer_one():
+    tested, changes = _make_with_order()
+    _restore(tested, ('a', b'old'))
+    assert changes == [('a', b'newest')]
+    assert tested.list_items()[0].value == b'newest'
+    tested.apply(item.Item('a', fakes.at(2, era=2), b'newer still'), 11.0)
+    assert changes[1:] == [('a', b'newer still')]
+
+
+def test_newer_value_of_a_restored_store_is_taken():
+    tested, changes = _make_with_order()
+    _restore(tested, ('a', b'written since'))
+    assert changes[1:] == [('a', b'written since')]
+
+
+def test_key_that_a_restored_store_lost_is_kept_until_it_is_written_again():
+    tested, changes = _make_with_order()
+    _restore(tested, ('b', b'x'))
+    tested.apply(item.Item('a', fakes.at(2, era=2), b'again!'), 11.0)
+    tested.apply_held_changes(100.0)
+    assert ('a', None) not in changes
+    assert tested.items['a'].value == b'again!'
+
+
+def _make_with_removed():
+    tested, changes = _make()
+    tested.apply(item.Item('left', fakes.at(5), b'x'), 0.0)
+    tested.apply(item.Item('left', fakes.at(6), removed=True), 0.0)
+    tested.revision = fakes.at(6)
+    changes.clear()
+    return tested, changes
+
+
+def test_removed_key_that_comes_back_with_a_restore_is_held_back():
+    tested, changes = _make_with_removed()
+    _restore(tested, ('left', b'x'))
+    tested.apply(item.Item('left', fakes.at(2, era=2), removed=True), 11.0)
+    tested.apply_held_changes(100.0)
+    assert changes == []
+
+
+def test_removed_key_that_stays_after_a_restore_is_in_use_again():
+    tested, changes = _make_with_removed()
+    _restore(tested, ('left', b'x'), now=10.0)
+    tested.apply_held_changes(10.0 + mirror.REVIVAL_HOLD_S - 0.1)
+    assert changes == []
+    assert [i.key for i in tested.list_items()] == ['left']
+    tested.apply_held_changes(10.0 + mirror.REVIVAL_HOLD_S)
+    assert changes == [('left', b'x')]
+
+
+def test_key_that_is_written_after_a_restore_is_in_use_at_once():
+    tested, changes = _make_with_removed()
+    _restore(tested, ('other', b'x'))
+    tested.apply(item.Item('left', fakes.at(2, era=2), b'new'), 11.0)
+    assert changes[-1] == ('left', b'new')
+
+
+def test_two_restores_in_a_row_hold_the_same_key_back():
+    tested, changes = _make_with_removed()
+    _restore(tested, ('left', b'x'))
+    _restore(tested, ('left', b'x'), now=12.0)
+    tested.apply_held_changes(10.0 + mirror.REVIVAL_HOLD_S)
+    assert changes == []
+    _restore(tested, ('other', b'x'), now=15.0)
+    tested.apply_held_changes(100.0)
+    assert changes == [('other', b'x')]
--- a/tests/discovery/test_mirror_machine.py
+++ b/tests/discovery/test_mirror_machine.py
@@ -176,9 +176,9 @@
     @stateful.rule()
     def later(self):
         """Let time pass until held removals are due, and apply them."""
-        self.now += mirror.REMOVAL_HOLD_S + 1.0
-        self.mirror.apply_due_removals(self.now)
-        self.peer.apply_due_removals(self.now)
+        self.now += mirror.REVIVAL_HOLD_S + 1.0
+        self.mirror.apply_held_changes(self.now)
+        self.peer.apply_held_changes(self.now)
 
     @stateful.invariant()
     def never_notifies_of_an_older_item(self):
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -244,7 +244,7 @@
     )
     peer = test_peer_registry._peer('b0')
     assert tested._apply_snapshot(snapshot, FakePeerState(peer, True))
-    mine.apply_due_removals(trio.current_time() + mirror.REMOVAL_HOLD_S + 1)
+    mine.apply_held_changes(trio.current_time() + mirror.REMOVAL_HOLD_S + 1)
     assert {k: i.value for k, i in mine.items.items()} == {'a': b'x'}
 
 
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -19,9 +19,12 @@
 }
 
 
+def _entry(**fields):
+    return json.dumps({**ENTRY, **fields}).encode()
+
+
 def _decode(**fields):
-    data = json.dumps({**ENTRY, **fields}).encode()
-    return keys.decode_target('servers/i-1', data)
+    return keys.decode_target('servers/i-1', _entry(**fields))
 
 
 def test_entry_describes_a_target():
@@ -58,3 +61,22 @@
 def test_malformed_entry_is_an_error(data):
     with pytest.raises(ValueError):
         keys.decode_target('servers/i-1', data)
+
+
+@pytest.mark.parametrize(
+    ('key', 'value', 'other', 'expected'),
+    [
+        ('op/config', b'{"version":5}', b'{"version":10}', True),
+        ('op/config', b'{"version":10}', b'{"version":10}', False),
+        ('op/config', b'{"version":10}', b'{}', False),
+        ('servers/i', _entry(seq=3, born=7), _entry(seq=4, born=7), True),
+        ('servers/i', _entry(seq=4, born=7), _entry(seq=3, born=7), False),
+        ('servers/i', _entry(seq=1, born=9), _entry(seq=4, born=7), False),
+        ('servers/i', b'no entry', _entry(seq=4, born=7), False),
+        ('op/evacuate/z', b'{}', b'{ }', False),
+    ],
+)
+def test_writers_tell_which_of_two_values_is_older(
+    key, value, other, expected
+):
+    assert keys.is_older(key, value, other) is expected
