Copy the configuration that peers have kept from before a restore

Callers of an instance that started after a restore, and before operators had written again what the store lost, were served by an older version than those of the others: confirmed, in force, and then missing on that instance.

Cause: it lists the store, which shows the older version, and is as far as its peers by revision, so that it never copied from them what they had kept. Change: heartbeats name the version in force in a trailing field; an instance with an older one, and no peer ahead of it, copies the mirror of the peer with the newest once and takes those values that their writers wrote after the known ones.

What remains: if the store shows no configuration at all for longer than 2.2 s after a restore, mirrors drop the item, though each instance keeps it in force; one that starts then answers 503 until operators write.

--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -68,6 +68,20 @@
         else:
             self._put(item, known)
 
+    def take_newer_value(self, item):
+        """Take an item's value if its writer wrote it after the known one.
+
+        A mirror that was filled before the store was restored may have kept
+        it. The revision stays the known one.
+        """
+        known = self.items.get(item.key)
+        if known is None or not self._is_older(
+            item.key, known.value, item.value
+        ):
+            return
+        self.items[item.key] = dataclasses.replace(known, value=item.value)
+        self._notify(item.key, self.items[item.key])
+
     def _is_revived(self, item, removed_at):
         """Return whether a restored store shows a removed item again.
 
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -74,6 +74,8 @@
     :param peers: Peers that the receiver asked for.
     :param load: percentage of a core that the sender uses.
     :param era: era of ``revision``; 0 if the sender does not know eras.
+    :param configuration: version of the configuration that the sender has in
+        force; 0 if it has none or does not tell.
     """
 
     format: int
@@ -86,6 +88,7 @@
     peers: tuple[Peer, ...] = ()
     load: _Load = 0
     era: int = 0
+    configuration: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/heartbeat_transport.py
+++ b/savorycross/fleet/heartbeat_transport.py
@@ -17,7 +17,7 @@
     :param seeds: addresses that get heartbeats while no peer is known.
     :param describe: callable that returns this instance's own status as a
         dictionary: the fields ``flags``, ``revision``, ``era``,
-        ``has_store`` and ``load`` of a Heartbeat.
+        ``configuration``, ``has_store`` and ``load`` of a Heartbeat.
     :param rng: random.Random that chooses among remote peers.
     :param metrics: Registry.
     """
--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -107,9 +107,21 @@
     :param log: EventLog.
     :param on_synced: called after the mirror was updated from a peer.
     :param nursery: nursery for the connections to peers.
+    :param read_version: callable that returns the version of the
+        configuration in force, or 0.
     """
 
-    def __init__(self, mirror, follower, duty, peers, log, on_synced, nursery):
+    def __init__(
+        self,
+        mirror,
+        follower,
+        duty,
+        peers,
+        log,
+        on_synced,
+        nursery,
+        read_version=lambda: 0,
+    ):
         self._mirror = mirror
         self._follower = follower
         self._duty = duty
@@ -117,7 +129,10 @@
         self._log = log
         self._on_synced = on_synced
         self._nursery = nursery
+        self._read_version = read_version
         self._behind_since = None
+        # Version that was copied from a peer, whether it was taken or not.
+        self._copied_version = 0
 
     async def run(self):
         """Compare revisions with peers until cancelled."""
@@ -127,6 +142,7 @@
             ahead = self._peers.find_ahead(self._mirror.revision, now)
             if ahead is None:
                 self._behind_since = None
+                await self._copy_newer_configuration(now)
                 continue
             if self._behind_since is None:
                 self._behind_since = now
@@ -166,23 +182,50 @@
         :param ahead: PeerState of the peer.
         :returns: whether the mirror has a newer revision now.
         """
-        peer_client = client.Client(tuple(ahead.peer.address), self._nursery)
         path = PATH
         if self._mirror.is_complete:
             path = _AFTER + _format_revision(self._mirror.revision)
+        snapshot = await self._fetch_snapshot(ahead.peer, path)
+        return snapshot is not None and self._apply_snapshot(snapshot, ahead)
+
+    async def _copy_newer_configuration(self, now):
+        """Copy a configuration that a peer has kept from before a restore.
+
+        The store shows an older one until operators write it again, and an
+        instance that has started since knows only that one.
+        """
+        version = max(self._read_version(), self._copied_version)
+        newer = self._peers.find_newer_configuration(version, now)
+        if newer is None:
+            return
+        snapshot = await self._fetch_snapshot(newer.peer, PATH)
+        if snapshot is None:
+            return
+        self._copied_version = newer.configuration
+        for key, revision, value in snapshot.items:
+            self._mirror.take_newer_value(items.Item(key, revision, value))
+        self._log.event(
+            'mirror.values_copied',
+            peer=newer.peer.name,
+            version=self._read_version(),
+            known_version=version,
+        )
+
+    async def _fetch_snapshot(self, peer, path):
+        """Return the Snapshot that a Peer sends, or None."""
+        peer_client = client.Client(tuple(peer.address), self._nursery)
         try:
             reply = await peer_client.call(
                 b'GET', path, timeout_s=REQUEST_TIMEOUT_S
             )
-            snapshot = msgspec.msgpack.decode(reply.body, type=Snapshot)
+            return msgspec.msgpack.decode(reply.body, type=Snapshot)
         except (errors.ConnectionLostError, ValueError) as exc:
             self._log.event(
-                'mirror.not_copied', peer=ahead.peer.name, reason=str(exc)
+                'mirror.not_copied', peer=peer.name, reason=str(exc)
             )
-            return False
+            return None
         finally:
             peer_client.close()
-        return self._apply_snapshot(snapshot, ahead)
 
     def _behind_s(self, now):
         """Return the seconds since a peer was first seen to be ahead."""
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -36,6 +36,7 @@
     :param heard_directly_at: when this instance received one, or None.
     :param flags: READY and LEAVING.
     :param revision: the store's Revision that the peer has seen.
+    :param configuration: version of the configuration in force there.
     :param has_store: whether the store answers the peer.
     :param load: percentage of a core that the peer uses.
     """
@@ -46,6 +47,7 @@
     heard_directly_at: float | None = None
     flags: int = 0
     revision: items.Revision = items.NO_REVISION
+    configuration: int = 0
     has_store: bool = False
     load: int = 0
 
@@ -111,6 +113,7 @@
         state.heard_directly_at = now
         state.flags = heartbeat.flags
         state.revision = items.Revision(heartbeat.era, heartbeat.revision)
+        state.configuration = heartbeat.configuration
         state.has_store = heartbeat.has_store
         state.load = heartbeat.load
 
@@ -197,14 +200,32 @@
         :returns: None if no peer has seen a newer one.
         """
         ahead = [
+            s
+            for s in self._list_heard_directly(now)
+            if s.revision > revision and s.peer.name not in excluded
+        ]
+        return max(ahead, key=self._rank_source, default=None)
+
+    def find_newer_configuration(self, version, now):
+        """Return the PeerState of the peer with the newest configuration.
+
+        :param version: version that this instance has in force, or 0.
+        :returns: None if no peer has a newer one in force.
+        """
+        newer = [
+            s
+            for s in self._list_heard_directly(now)
+            if s.configuration > version
+        ]
+        return max(newer, key=lambda s: s.configuration, default=None)
+
+    def _list_heard_directly(self, now):
+        return [
             s
             for s in self._by_name.values()
-            if s.revision > revision
-            and s.peer.name not in excluded
-            and s.heard_directly_at is not None
+            if s.heard_directly_at is not None
             and now - s.heard_directly_at < REMOTE_DEAD_AFTER_S
         ]
-        return max(ahead, key=self._rank_source, default=None)
 
     def _rank_source(self, state):
         """Return the key by which sources of changes are compared.
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -37,6 +37,11 @@
         self._balancers = {}
         self._engine.target_registry.set_services(configuration.services)
 
+    @property
+    def version(self):
+        """Version of the configuration in force, or 0."""
+        return self.configuration.version if self.configuration else 0
+
     def lacks_targets(self):
         """Return whether many services of routes have no usable target."""
         if self.configuration is None:
@@ -68,7 +73,7 @@
 
     def _run(self, call, route, respond):
         engine = self._engine
-        version = self.configuration.version
+        version = self.version
         timeout_s = route.timeout_s
         if call.caller_timeout_s is not None:
             timeout_s = min(timeout_s, call.caller_timeout_s)
@@ -124,15 +129,13 @@
         retry_after_s = (
             NO_CONFIGURATION_RETRY_AFTER_S if status == 503 else None
         )
-        configuration = self.configuration
-        version = configuration.version if configuration else None
         self._engine.metrics.count('requests', outcome='refused', shape='none')
         self._engine.log.event(
             'request.refused',
             call.label,
             status=status,
             reason=reason,
-            version=version,
+            version=self.version,
             host=call.host,
             path=call.path,
         )
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -214,6 +214,7 @@
             self.log,
             self._on_synced,
             self._nursery,
+            lambda: self._gateway.version,
         )
 
     def _make_servers(self):
@@ -291,6 +292,7 @@
             | self._is_stopping * heartbeat.LEAVING,
             'revision': self._mirror.revision.number,
             'era': self._mirror.revision.era,
+            'configuration': self._gateway.version,
             'has_store': self._follower.is_connected,
             'load': round(100 * self._loop_load.value),
         }
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -1,6 +1,7 @@
 """Copying the mirror of a peer."""
 
 import dataclasses
+import types
 
 import pytest
 import trio
@@ -68,6 +69,10 @@
         """Return the state of that peer."""
         return FakePeerState(None, True)
 
+    def find_newer_configuration(self, version, now):
+        """Return None."""
+        return None
+
 
 async def _copy_mirror(nursery, is_complete, log=null_log.NullLog()):
     """Return a mirror with an item of its own, after a copy from a peer."""
@@ -266,3 +271,57 @@
 @pytest.mark.parametrize('text', [b'', b'5', b'2.', b'.5', b'2.x', b'2.5.1'])
 def test_invalid_revision_gets_all_items(text):
     assert mirror_sync._parse_revision(text) is None
+
+
+class ConfigurationPeers(FakePeerRegistry):
+    """A registry in which one peer has a newer configuration in force."""
+
+    def __init__(self, address, version):
+        self.asked = 0
+        peer = heartbeat.Peer('p', 1, 'x', address, address)
+        self._state = types.SimpleNamespace(peer=peer, configuration=version)
+
+    def find_ahead(self, revision, now, excluded=frozenset()):
+        """Return None."""
+        return None
+
+    def find_newer_configuration(self, version, now):
+        """Return the state of that peer if its version is newer."""
+        self.asked += self._state.configuration > version
+        return self._state if self._state.configuration > version else None
+
+
+@pytest.mark.parametrize('is_taken', [True, False])
+async def test_instance_started_after_a_restore_copies_what_a_peer_has_kept(
+    nursery, is_taken
+):
+    def is_older(key, value, other):
+        return is_taken and int(value) < int(other)
+
+    theirs = mirror.Mirror(lambda key, value: None)
+    theirs.apply(item.Item('op/config', fakes.at(3, era=2), b'10'), 0.0)
+    theirs.revision = fakes.at(3, era=2)
+    address = ('127.0.0.1', 20934)
+    peer_server = server.Server(mirror_sync.make_handler(theirs), nursery)
+    nursery.start_soon(peer_server.run, address)
+    await trio.testing.wait_all_tasks_blocked()
+    mine = mirror.Mirror(lambda key, value: None, is_older)
+    mine.apply(item.Item('op/config', fakes.at(3, era=2), b'5'), 0.0)
+    mine.revision = fakes.at(4, era=2)
+    peers = ConfigurationPeers(address, 10)
+    tested = mirror_sync.MirrorSynchronizer(
+        mine,
+        ConnectedFollower(is_watching=True),
+        FakeDuty(),
+        peers,
+        null_log.NullLog(),
+        lambda: None,
+        nursery,
+        lambda: int(mine.items['op/config'].value),
+    )
+    nursery.start_soon(tested.run)
+    await trio.sleep(1.8)
+    assert mine.items['op/config'].value == (b'10' if is_taken else b'5')
+    assert mine.revision == fakes.at(4, era=2)
+    # One that this instance cannot take is not asked for again.
+    assert peers.asked == 1
--- a/tests/fleet/test_peer_registry.py
+++ b/tests/fleet/test_peer_registry.py
@@ -201,6 +201,20 @@
     assert registry.find_ahead(item.Revision(1, 4), 100.1) is None
 
 
+def test_peer_with_the_newest_configuration_is_found():
+    registry = peer_registry.PeerRegistry(_peer('a0'), null_log.NullLog())
+    for name, version in (('a1', 5), ('a2', 10), ('a3', 0)):
+        peer = _peer(name)
+        registry.register(peer, 100.0)
+        message = heartbeat.Heartbeat(
+            heartbeat.FORMAT, peer.id, 1, 5, True, configuration=version
+        )
+        registry.on_heartbeat(message, peer.address, 100.0)
+    assert registry.find_newer_configuration(5, 100.1).peer.name == 'a2'
+    assert registry.find_newer_configuration(10, 100.1) is None
+    assert registry.find_newer_configuration(5, 200.0) is None
+
+
 class HeartbeatWithoutEra(msgspec.Struct, frozen=True, array_like=True):
     """The heartbeat that instances sent before they knew eras."""
 
