Write a view again that a restored store has lost

On the product's own interface, after a restore: members that had joined, left or died since the copy stayed as they were in the view of each instance, and nothing that was proposed from the stored view was adopted, as its epoch counted as old, until the epochs had caught up.

Cause: the epoch of the next view was that of the stored one plus one. Change: a member that reads an earlier view than the one it has adopted, or another one of the same epoch, proposes the adopted one again as the next epoch.

--- a/savorycross/membership/group.py
+++ b/savorycross/membership/group.py
@@ -187,7 +187,7 @@
         joining = [m for m, _ in self._join_requests.values()]
         dead = self.detector.dead_members()
         proposal = self._view_proposer.propose(
-            view, joining, dead, self.leaving, now
+            view, self.view, joining, dead, self.leaving, now
         )
         if proposal is None:
             return
--- a/savorycross/membership/view_proposer.py
+++ b/savorycross/membership/view_proposer.py
@@ -28,15 +28,22 @@
         self._own = own
         self._unreached_since = None
 
-    def propose(self, view, joining, dead, leaving, now):
+    def propose(self, view, held, joining, dead, leaving, now):
         """Return the Proposal that is due, or None.
 
         :param view: the View read from the store.
+        :param held: the View that this instance has adopted. If the store
+            holds an earlier one, it was restored from an older copy, and a
+            member writes the one that it lost as the next view.
         :param joining: Members that asked this instance to add them.
         :param dead: Members that this instance believes dead.
         :param leaving: True once this instance has drained and leaves.
         :param now: runtime clock, seconds.
         """
+        is_lost = view.epoch <= held.epoch and view != held
+        if is_lost and held.contains(self._own):
+            next_view = dataclasses.replace(held, epoch=held.epoch + 1)
+            return Proposal(next_view, 'restored')
         if not view.epoch:
             return Proposal(view.with_member(self._own), 'first')
         if not view.contains(self._own):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -32,7 +32,9 @@
         if request.path == '/control':
             return self._control(json.loads(request.body))
         try:
-            return await self._answer(request)
+            answer = await self._answer(request)
+            answer.headers['Store-Era'] = str(self.model.era)
+            return answer
         except errors.StoreConflictError:
             return http_server.Response(409, b'{}')
         except errors.StoreUnavailableError:
--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -1,6 +1,7 @@
 """A model of the platform's key-value service that is also a Store."""
 
 import collections
+import copy
 import dataclasses
 
 import trio
@@ -34,10 +35,13 @@
 class PlatformModel:
     """Keys with revisions, leases and watches, and two lists that may lag.
 
+    ``era`` rises by one when the store is restored from an older copy.
+
     :param latency_s: one-way delay of each call in seconds.
     """
 
     def __init__(self, latency_s=0.001):
+        self.era = 1
         self.faults = Faults()
         self.calls = collections.Counter()
         self.listed = []
@@ -107,6 +111,18 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def make_copy(self):
+        """Return a copy of all keys for ``restore``."""
+        return self._last_revision, copy.deepcopy(self._values)
+
+    def restore(self, older):
+        """Return to a copy; later revisions are given out again."""
+        self._last_revision, values = older
+        self._values = copy.deepcopy(values)
+        self.era += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _entry(self, key):
         stored = self._values.get(key)
         if stored is None:
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -209,6 +209,16 @@
     context.fabric.platform.faults.down = False
 
 
+@step('when', 'the platform is copied')
+async def _copy_platform(context):
+    context.saved['copy'] = context.fabric.platform.make_copy()
+
+
+@step('when', 'the platform is restored from the copy')
+async def _restore_platform(context):
+    context.fabric.platform.restore(context.saved['copy'])
+
+
 @step('when', 'the platform drops the replies to the next {count:d} writes')
 async def _drop_write_replies(context, count):
     context.fabric.platform.faults.lose_writes = count
@@ -422,6 +432,30 @@
     assert set(versions.values()) == {version}, versions
 
 
+@step('then', 'the platform holds version {version:d}')
+async def _assert_stored_version(context, version):
+    manifest, _ = await publish.read_manifest(context.fabric.platform)
+    assert manifest.version == version
+    stored = await publish.read_catalogue(context.fabric.platform, manifest)
+    assert stored.digest == manifest.digest
+
+
+@step('then', 'all instances use the sheet of {author}')
+async def _assert_author_in_use(context, author):
+    authors = {i.catalogue.author for i in context.fabric.instances.values()}
+    assert authors == {author}
+
+
+@step('then', 'all instances agree on a view without {name}')
+async def _assert_view_without(context, name):
+    views = {i.group.view for i in context.fabric.instances.values()}
+    assert len(views) == 1, views
+    (view,) = views
+    assert view.find(name) is None
+    names = [m.name for m in view.members]
+    assert names == sorted(context.fabric.instances)
+
+
 @step('then', 'no instance reverted to an older version')
 async def _assert_no_reversion(context):
     for instance in context.fabric.instances.values():
