Write accepted sheets again that a restored store has lost

On the product's own interface: a sheet that an operator applied after a restore was accepted under a version that instances had already, so that it never came in force, though the command said so; and a sheet that the store had lost was unknown to each instance that started later.

Cause: the next version followed from the manifest in the store alone. Change: an instance that reads an earlier manifest than its catalogue, or another one of the same version, writes the catalogue in force again by compare-and-swap; a sheet that was applied to the copy becomes the version after it, which is then in force (sheet/recovery). Ids of writes tell a copy from a new sheet.

What remains: the command reports the version that it wrote, not the one that its sheet gets then.

--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -32,6 +32,7 @@
 from savorycross.relay import inbox
 from savorycross.relay import relay as relays
 from savorycross.sheet import publish
+from savorycross.sheet import recovery
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 POLL_INTERVAL_S = 1.0
@@ -161,6 +162,9 @@
         self.target_client = dependencies.make_target_client(self)
 
     def _make_group(self, datagrams):
+        self._manifest_recovery = recovery.ManifestRecovery(
+            self.dependencies.store, self.journal
+        )
         return groups.Group(
             self.own,
             self.dependencies.store,
@@ -447,8 +451,9 @@
         """Return the number of queries and bookings in progress."""
         return float(self.queries.in_progress + self.bookings.in_progress)
 
-    async def _on_manifest(self, manifest):
+    async def _on_manifest(self, manifest, revision):
         """Read the catalogue that a newer manifest in the store names."""
+        await self._manifest_recovery.check(manifest, revision, self.catalogue)
         if manifest.version <= self.catalogue.version:
             return
         catalogue = await publish.read_catalogue(
--- a/savorycross/membership/group.py
+++ b/savorycross/membership/group.py
@@ -27,7 +27,8 @@
     :param datagrams: sends Datagram messages to members.
     :param header: callable that returns a detector Header.
     :param on_view: called with each newer View.
-    :param on_manifest: awaited with each Manifest read from the store.
+    :param on_manifest: awaited with each Manifest read from the store and
+        its revision.
     :param on_liveness: called after peers have changed their status, or
         have been added or removed.
     :param journal: Journal.
@@ -170,9 +171,9 @@
         asked_at = trio.current_time()
         entry = await self._store.get(views.VIEW_KEY)
         view = _decode_view(entry)
-        manifest, _ = await publish.read_manifest(self._store)
+        manifest, revision = await publish.read_manifest(self._store)
         self.adopt(view)
-        await self._on_manifest(manifest)
+        await self._on_manifest(manifest, revision)
         generation = leases.Generation(view.epoch, manifest.version)
         self.ownership_lease.record_store_read(generation, asked_at)
         await self._propose(view, entry.revision)
--- a/savorycross/sheet/publish.py
+++ b/savorycross/sheet/publish.py
@@ -128,18 +128,35 @@
     new_catalogue = dataclasses.replace(
         new_catalogue, version=version, author=author
     )
-    parts = await _write_parts(store, new_catalogue)
-    writes = (*manifest.writes, write_id)[-MAX_WRITE_IDS:]
-    next_manifest = Manifest(
-        version, author, new_catalogue.digest, parts, writes
-    )
-    await _replace_manifest(store, next_manifest, revision)
+    writes = (*manifest.writes, write_id)
+    await write_version(store, new_catalogue, writes, revision)
     if announce is not None:
         await announce(new_catalogue)
     changes = tuple(str(c) for c in diff.diff(current, new_catalogue))
     return Accepted(version, changed=True, changes=changes)
 
 
+async def write_version(store, new_catalogue, writes, revision):
+    """Write a catalogue and its manifest in place of another manifest.
+
+    :param new_catalogue: Catalogue with its version and author.
+    :param writes: ids of the writes up to this one, the latest last.
+    :param revision: revision that the manifest's key must have.
+    :raises SheetRaceError: if it has another one.
+    :raises StoreConflictError: if the same part is written at once.
+    :raises StoreUnavailableError: if the write is not known to be committed.
+    """
+    parts = await _write_parts(store, new_catalogue)
+    manifest = Manifest(
+        new_catalogue.version,
+        new_catalogue.author,
+        new_catalogue.digest,
+        parts,
+        tuple(writes[-MAX_WRITE_IDS:]),
+    )
+    await _replace_manifest(store, manifest, revision)
+
+
 @dataclasses.dataclass(frozen=True)
 class PublishOptions:
     """Conditions under which a sheet is published.
