Bind idempotency keys again that a restored store has lost

On the product's own interface, a booking could run twice: a caller that repeated its key after a restore got a new ticket, as the store had lost the one to which the key was bound.

Cause: the binding was in the store alone. The era comes with each reply of the store.

--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -148,10 +148,13 @@
             self.journal,
             self.metrics,
         )
+        self.idempotency_keys = idempotency_keys.IdempotencyKeys(
+            dependencies.store
+        )
         self.bookings = booking_coordinator.BookingCoordinator(
             own,
             dependencies.secret,
-            idempotency_keys.IdempotencyKeys(dependencies.store),
+            self.idempotency_keys,
             self,
             self.peers.send,
             part_ids,
@@ -183,6 +186,7 @@
             nursery.start_soon(self.relay.run, self.target_client)
             nursery.start_soon(self.group.run_heartbeats)
             nursery.start_soon(self.group.run_sync)
+            nursery.start_soon(self.idempotency_keys.run)
             nursery.start_soon(self._run_leaving_target_poll)
             nursery.start_soon(self._run_housekeeping)
             nursery.start_soon(self._run_join_requests)
--- a/savorycross/store/http.py
+++ b/savorycross/store/http.py
@@ -33,6 +33,7 @@
     def __init__(self, address, timeout_s=CALL_TIMEOUT_S):
         self._base_url = f'http://{address[0]}:{address[1]}'
         self._timeout_s = timeout_s
+        self.era = 0
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=16, keepalive_expiry=20
         )
@@ -124,4 +125,10 @@
             raise errors.StoreUnavailableError(
                 f'key-value service did not answer: {type(exc).__name__}'
             ) from exc
+        self._read_era(reply.headers)
         return reply.status, reply.content
+
+    def _read_era(self, headers):
+        for name, value in headers:
+            if name.lower() == b'store-era' and value.isdigit():
+                self.era = int(value)
--- a/savorycross/store/protocol.py
+++ b/savorycross/store/protocol.py
@@ -39,8 +39,13 @@
 
     All methods raise StoreUnavailableError if no reply arrives or its status
     is unexpected; a write may nevertheless have taken effect.
+
+    ``era`` is the number of the store's era in the latest reply, 0 before the
+    first. It rises when the store was restored from an older copy.
     """
 
+    era: int
+
     async def get(self, key: str) -> Entry:
         """Return the Entry of a key, or ABSENT."""
 
--- a/tests/scenarios/features/p12_restored_store.feature
+++ b/tests/scenarios/features/p12_restored_store.feature
@@ -37,3 +37,23 @@
     When instance entry-3 is killed
     And 5 seconds pass
     Then all instances agree on a view without entry-3
+
+  Scenario: a booking whose key the store lost runs once
+    Given a deployment of 4 instances
+    When the platform is copied
+    And a caller books with key k1 through entry-1
+    And the platform is restored from the copy
+    And 8 seconds pass
+    And a caller books with key k1 through entry-2
+    Then booking k1 has the outcome ran
+    And the targets ran 1 bookings
+
+  Scenario: a caller that returns right after the restore books once
+    Given a deployment of 4 instances
+    When the platform is copied
+    And a caller books with key k1 through entry-1
+    And the platform is restored from the copy
+    And a caller books with key k1 through entry-2
+    And 8 seconds pass
+    And a caller books with key k1 through entry-2
+    Then the targets ran 1 bookings
