Restore the store from an older copy in the soak

A fault of the soak, with what operators and targets lost written again up to a second later; at the end, merged answers must be of the last configuration. A test of real processes does the same once: a version that the store lost stays in force, the next one comes in force, and both instances are announced again.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -71,6 +71,9 @@
             self.add_violation(
                 'mixed', f'{id_}: {services} and {missing} missing'
             )
+        is_current = self.shard_sets[-1] in candidates
+        if self._testbed.recovered_at and not is_current:
+            self.add_violation('configuration', f'{id_}: {services}')
         if len(services) < MIN_COVERAGE * (len(services) + missing):
             self.add_violation('coverage', f'{id_}: {len(services)} parts')
         bodies = [backends.make_records(s, id_) for s in services]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
     'store_busy',
     'store_slow',
     'compact',
+    'store_restored',
     'backend_crash',
     'backend_leaves',
     'backend_vanishes',
@@ -153,6 +154,13 @@
     async def _compact(self):
         self._testbed.model.compact()
 
+    async def _store_restored(self):
+        older = self._testbed.model.make_copy()
+        await trio.sleep(self._draw_duration_s())
+        self._testbed.store.is_busy = True
+        await trio.sleep(self._rng.uniform(0.0, 1.0))
+        await self._testbed.restore_store(older, self._rng.uniform(0.0, 1.0))
+
     async def _backend_crash(self):
         await self._testbed.replace_backend(self._choose_backend(), 'crash')
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -160,6 +160,33 @@
         self._shard_set_index = 1 - self._shard_set_index
         self._configure()
 
+    async def restore_store(self, older, delay_s):
+        """Restore the store, and let others write again what it lost.
+
+        :param older: copy of the store.
+        :param delay_s: seconds until operators and backends write.
+        """
+        written = {
+            k: i.value
+            for k, i in self.model.items.items()
+            if k.startswith(('op/', 'servers/'))
+        }
+        self.model.restore(older)
+        restored_at = self.model.revision
+        self.store.is_busy = False
+        await trio.sleep(delay_s)
+        for key, item in list(self.model.items.items()):
+            if not key.startswith(('op/', 'servers/')):
+                continue
+            if key not in written and item.rev <= restored_at:
+                self.model.remove(key)
+        for key, value in written.items():
+            item = self.model.items.get(key)
+            if item is None or (
+                item.rev <= restored_at and item.value != value
+            ):
+                self.model.put(key, value)
+
     def _configure(self):
         self._version += self.rng.randint(1, 3)
         self.checks.shard_sets.append(SHARD_SETS[self._shard_set_index])
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -130,6 +130,30 @@
         assert reply.header(b'parts').count(b'b') == 6
 
 
+async def test_change_after_the_store_was_restored_is_in_force_soon(
+    two_instances,
+):
+    bed = two_instances.testbed
+    older = bed.model.make_copy()
+    for _ in range(5):
+        bed.reshard()
+    await trio.sleep(1.0)
+    bed.store.is_busy = True
+    await trio.sleep(0.3)
+    await bed.restore_store(older, 0.5)
+    for i in range(2):
+        reply = await two_instances.call(b'/all/x', b'kept-%d' % i, instance=i)
+        assert reply.header(b'parts').count(b'b') == 6
+    bed.reshard()
+    await trio.sleep(2.0)
+    for i in range(2):
+        reply = await two_instances.call(b'/all/x', b'next-%d' % i, instance=i)
+        assert reply.header(b'parts').count(b'a') == 4
+        assert 'savorycross_store_era 2' in await two_instances.metrics(i)
+    names = [k for k in bed.model.items if k.startswith('savorycross/')]
+    assert len(names) == 2
+
+
 async def test_remote_parts_arrive_through_a_delegate_or_directly(
     two_instances,
 ):
