Send nothing more to targets that say in their answers that they leave

Callers got refusals and cut answers from targets that were about to end, where the list of the store told late or, with the store away, not at all.

Cause: nothing read Server-Leaving; only the entry in the store said that a target is draining. Change: an answer of any kind that says so takes the target out of use for the rest of its incarnation, also when its entry is written again or had lapsed. A delegate passes the word on with its results, in a trailing field that older instances ignore. The reply of another target at the address (421) says nothing of the one that was meant.

The soak's leaving backends say so too.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -131,7 +131,9 @@
         self._fail_pending(reason)
 
     def _record_statement(self, attempt, result):
-        """Record what the delegate knows of the target's rate limit."""
+        """Record what the target has said to the delegate."""
+        if result.is_leaving:
+            self._engine.record_leaving(attempt.state)
         if result.outcome is protocol.Outcome.LOST:
             return
         self._engine.record_statement(
--- a/savorycross/delegate/batch_handler.py
+++ b/savorycross/delegate/batch_handler.py
@@ -182,6 +182,7 @@
                 stamp,
                 body,
                 state.rate.statement.rate_per_s if state else None,
+                state is not None and state.is_leaving,
             )
         )
 
--- a/savorycross/delegate/protocol.py
+++ b/savorycross/delegate/protocol.py
@@ -69,6 +69,7 @@
         in the same message drops.
     :param rate_per_s: requests a second that the target takes, as it last
         said, or None if it states no limit.
+    :param is_leaving: whether the target has said that it is about to end.
     """
 
     number: int
@@ -77,6 +78,7 @@
     stamp: bytes = b''
     records: bytes = b''
     rate_per_s: typing.Annotated[float, msgspec.Meta(ge=0)] | None = None
+    is_leaving: bool = False
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True):
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -79,6 +79,9 @@
         :returns: requests a second that it takes from all instances.
         """
 
+    def is_leaving(self, reply) -> bool:
+        """Return whether a target says that it gets no new requests."""
+
     def make_part(self, stamp, body):
         """Return a successful Reply with the stamp of a target and a body."""
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -317,12 +317,17 @@
         return is_paid
 
     def read_statement(self, state, verdict, reply, sent_at):
-        """Take in what a target's reply says about its rate of requests.
+        """Take in what a target's reply says about the requests it takes.
 
         :param state: TargetState of the target.
         :param verdict: Verdict on the reply.
         :param sent_at: runtime clock time at which the request was sent.
         """
+        if verdict is calls.Verdict.MISDIRECTED:
+            # Another target has sent it.
+            return
+        if self.dialect.is_leaving(reply):
+            self.record_leaving(state)
         rate_per_s = self.dialect.read_rate_limit(reply)
         self.record_statement(state, verdict, rate_per_s, sent_at)
 
@@ -340,6 +345,17 @@
             return
         self.rates.record_statement(state, rate_per_s, sent_at, self.now())
 
+    def record_leaving(self, state):
+        """Record that a target gets no new requests, as it says itself."""
+        if state.is_leaving:
+            return
+        state.is_leaving = True
+        self.log.event(
+            'target.leaving',
+            target=state.target.id,
+            service=state.target.service,
+        )
+
     def count_failure(self, service, reason):
         """Count a send without an answer in the metrics.
 
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -2,33 +2,31 @@
 
 import dataclasses
 
-from savorycross.discovery import target as targets
 from savorycross.forward import target_state
-from savorycross.rate import limiter
 
 # An entry can lapse while the store is away, though its target is alive. The
 # target declares itself again within this time.
-RATE_RETENTION_S = 60.0
+RETENTION_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _RemovedRate:
-    """The RateLimiter of a removed target.
+class _Removed:
+    """What a target said in its answers before it was removed.
 
     :param removed_at: runtime clock time in seconds.
     """
 
-    target: targets.Target
-    rate: limiter.RateLimiter
+    state: target_state.TargetState
     removed_at: float
 
 
 class TargetRegistry:
     """Known targets by id and by service.
 
-    A target may get work unless it is draining or its data centre is
-    evacuated, which means that operators have taken it out of use. A target
-    that was removed and is declared again keeps its RateLimiter.
+    A target may get work unless it is draining, as its entry or its answers
+    say, or its data centre is evacuated, which means that operators have
+    taken it out of use. What a target said in its answers is remembered when
+    its entry is removed and written again.
 
     :param make_pool: callable that takes an address and returns a Pool.
     :param log: EventLog.
@@ -39,7 +37,7 @@
         self._log = log
         self._by_id = {}
         self._by_service = {}
-        self._removed_rates = {}
+        self._removed = {}
         self._evacuated = set()
         self._services = {}
         self._shares = None
@@ -71,6 +69,7 @@
         target = state.target
         return (
             not target.is_draining
+            and not state.is_leaving
             and target.data_centre not in self._evacuated
         )
 
@@ -102,12 +101,7 @@
         if current is None or _is_new_incarnation(current.target, target):
             if current is not None:
                 self._drop(current)
-            state = target_state.TargetState(
-                target,
-                self._make_pool(target.address),
-                now,
-                self._restore_rate(target),
-            )
+            state = self._make_state(target, now)
             self._by_id[target.id] = state
             self._by_service.setdefault(target.service, []).append(state)
             self._apply_shares(state)
@@ -136,10 +130,8 @@
         removed = self._by_id.pop(target_id, None)
         if removed is not None:
             self._drop(removed)
-            if removed.rate.is_limited:
-                self._removed_rates[target_id] = _RemovedRate(
-                    removed.target, removed.rate, now
-                )
+            if removed.rate.is_limited or removed.is_leaving:
+                self._removed[target_id] = _Removed(removed, now)
             self._log.event(
                 'target.gone', target=target_id, service=removed.target.service
             )
@@ -164,13 +156,13 @@
         )
 
     def prune(self, now):
-        """Close idle connections and drop old rates of removed targets."""
+        """Close idle connections, and forget targets removed long ago."""
         for state in self._by_id.values():
             state.pool.prune(now)
-        self._removed_rates = {
+        self._removed = {
             id_: removed
-            for id_, removed in self._removed_rates.items()
-            if now - removed.removed_at < RATE_RETENTION_S
+            for id_, removed in self._removed.items()
+            if now - removed.removed_at < RETENTION_S
         }
 
     def close_idle(self):
@@ -185,12 +177,20 @@
             del self._by_service[state.target.service]
         state.pool.close()
 
-    def _restore_rate(self, target):
-        """Return the RateLimiter that a target had before, or None."""
-        removed = self._removed_rates.pop(target.id, None)
-        if removed is None or _is_new_incarnation(removed.target, target):
-            return None
-        return removed.rate
+    def _make_state(self, target, now):
+        """Return a TargetState, with what the target said before."""
+        removed = self._removed.pop(target.id, None)
+        former = removed.state if removed is not None else None
+        if former is not None and _is_new_incarnation(former.target, target):
+            former = None
+        state = target_state.TargetState(
+            target,
+            self._make_pool(target.address),
+            now,
+            former.rate if former is not None else None,
+        )
+        state.is_leaving = former is not None and former.is_leaving
+        return state
 
     def _extend_cold_period(self, state, now):
         service = self._services.get(state.target.service)
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -40,7 +40,8 @@
     ``outstanding`` maps each send in flight to the time of the send and
     the typical latency of its route in seconds, in the order of the sends;
     ``max_in_flight`` is the largest number of them. ``rate`` is the
-    RateLimiter of the sends.
+    RateLimiter of the sends. ``is_leaving`` tells that the target has said
+    in an answer that it is about to end.
 
     :param target: Target.
     :param pool: Pool of its connections.
@@ -64,6 +65,7 @@
         self._failure_rate = 0.0
         self._outcome_at = now
         self._cold_sends = []
+        self.is_leaving = False
         self.rate = rate or limiter.RateLimiter(target.id, now)
 
     def relative_latency(self, now):
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -10,6 +10,8 @@
 _NOT_RUN = b'not-run'
 # Requests a second that a target takes from all instances together.
 _RATE_LIMIT = b'server-limit'
+# In all replies of a target that is about to end.
+_LEAVING = b'server-leaving'
 # Headers that are not forwarded, as each send sets its own.
 _NOT_FORWARDED = messages.HOP_BY_HOP | {_DEADLINE, b'expect-instance'}
 
@@ -96,6 +98,10 @@
         """Return the requests a second that a target takes, or None."""
         return statement.parse_rate(reply.header(_RATE_LIMIT))
 
+    def is_leaving(self, reply):
+        """Return whether a target says that it is about to end."""
+        return reply.header(_LEAVING) == b'1'
+
     def make_part(self, stamp, body):
         """Return a successful Reply with a target's signature and body."""
         return messages.Reply(200, ((b'Server-Stamp', stamp),), body)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -148,6 +148,9 @@
         elif how == 'vanish':
             self.model.remove(old.key)
         else:
+            # Some say so in their answers only, at first.
+            old.is_leaving = True
+            await trio.sleep(self.rng.choice([0.0, 2.0]))
             old.announce('draining')
         self.backends.remove(proxied_backend)
         await self._add_backend(old.service, old.zone)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -48,9 +48,10 @@
     :param model: KvModel in which the backend registers itself.
     :param nursery: nursery of the requests.
     :param runs: list to which each Run is appended, shared by all backends.
-    ``stated_rate`` is the StatedRate of all requests to it.
-
     :param rng: random.Random for work times.
+
+    ``stated_rate`` is the StatedRate of all requests to it, ``is_leaving``
+    whether its answers say that it leaves.
     """
 
     def __init__(self, id_, service, zone, model, nursery, runs, rng):
@@ -61,6 +62,7 @@
         self.work_s = 0.01
         self.fail_share = 0.0
         self.lose_share = 0.0
+        self.is_leaving = False
         self.stated_rate = stated_rate.StatedRate()
         self.announced_address = None
         self.address = None
@@ -122,6 +124,8 @@
         rate_per_s = self.stated_rate.rate_per_s
         if rate_per_s is not None:
             headers = (*headers, (b'Server-Limit', b'%.3f' % rate_per_s))
+        if self.is_leaving:
+            headers = (*headers, (b'Server-Leaving', b'1'))
         if (
             expected_instance is not None
             and expected_instance != self.id.encode()
--- a/tests/delegate/test_batch.py
+++ b/tests/delegate/test_batch.py
@@ -175,3 +175,10 @@
     run.deliver((0, OK, 10.0, b'f1', b'x' * 16), elapsed_ms=48.0)
     route_latency = run.engine.route_latency(run.gather._route)
     assert abs(route_latency.typical_s - 0.012) < 1e-6
+
+
+def test_target_that_leaves_as_its_delegate_says_gets_nothing_more():
+    run = Run()
+    run.deliver((*part(0, b'z'), None, True))
+    leaving = run.batch.targets[0]
+    assert run.engine.target_registry.find_usable(leaving) is None
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -154,6 +154,24 @@
     assert len(names) == 2
 
 
+async def test_target_that_leaves_gets_nothing_more_while_the_store_is_away(
+    two_instances,
+):
+    two_instances.testbed.store.is_busy = True
+    leaving = two_instances.backends('one')[0]
+    leaving.is_leaving = True
+    for number in range(60):
+        id_ = b'first-%d' % number
+        await two_instances.call(b'/one/x', id_, instance=number % 2)
+    runs = two_instances.testbed.checks.runs
+    runs.clear()
+    for number in range(60):
+        id_ = b'second-%d' % number
+        reply = await two_instances.call(b'/one/x', id_, instance=number % 2)
+        assert reply.status == 200
+    assert leaving.id not in {run.backend for run in runs}
+
+
 async def test_remote_parts_arrive_through_a_delegate_or_directly(
     two_instances,
 ):
