Send nothing to a target for as long as its refusal asks

Targets that were full and said with 503 and Retry-After that they want nothing for some seconds got retries, hedges and the next calls all the same; callers waited for what was refused again.

Cause: Retry-After of targets was not read; a refusal only made a target look slow. Change: the target gets nothing from this instance until then, neither directly nor for another instance, also if its entry lapses and is written again meanwhile. A delegate tells how long it was asked to pause. Calls whose service has only such targets are refused at once if the pause outlasts them, with the time at which it ends; others wait for its end.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -134,6 +134,7 @@
         """Record what the target has said to the delegate."""
         if result.is_leaving:
             self._engine.record_leaving(attempt.state)
+        self._engine.record_pause(attempt.state, result.pause_ms / 1000)
         if result.outcome is protocol.Outcome.LOST:
             return
         self._engine.record_statement(
--- a/savorycross/delegate/batch_handler.py
+++ b/savorycross/delegate/batch_handler.py
@@ -145,7 +145,8 @@
             self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
             return
         is_paid = number in self._batch.paid
-        if not is_paid and not engine.may_send(state, now):
+        is_allowed = is_paid or engine.may_send(state, now)
+        if state.is_paused(now) or not is_allowed:
             self._add_result(number, protocol.Outcome.NOT_RUN, 0.0)
             return
         remaining_s = self._batch.remaining_ms / 1000
@@ -172,19 +173,20 @@
         self._flush_if_due()
 
     def _add_result(self, number, outcome, took_s, stamp=b'', body=b''):
+        result = protocol.Result(
+            number, outcome, round(took_s * 1000, 1), stamp, body
+        )
         id_ = self._batch.targets[number]
         state = self._engine.target_registry.find(id_)
-        self._unflushed.append(
-            protocol.Result(
-                number,
-                outcome,
-                round(took_s * 1000, 1),
-                stamp,
-                body,
-                state.rate.statement.rate_per_s if state else None,
-                state is not None and state.is_leaving,
+        if state is not None:
+            pause_s = max(0.0, state.paused_until - self._engine.now())
+            result = msgspec.structs.replace(
+                result,
+                rate_per_s=state.rate.statement.rate_per_s,
+                is_leaving=state.is_leaving,
+                pause_ms=min(int(pause_s * 1000), protocol.MAX_MS),
             )
-        )
+        self._unflushed.append(result)
 
     def _flush_if_due(self):
         if self._has_flushed or not self._pending:
--- a/savorycross/delegate/protocol.py
+++ b/savorycross/delegate/protocol.py
@@ -70,6 +70,8 @@
     :param rate_per_s: requests a second that the target takes, as it last
         said, or None if it states no limit.
     :param is_leaving: whether the target has said that it is about to end.
+    :param pause_ms: milliseconds for which the target wants nothing from the
+        delegate, as it has said.
     """
 
     number: int
@@ -79,6 +81,7 @@
     records: bytes = b''
     rate_per_s: typing.Annotated[float, msgspec.Meta(ge=0)] | None = None
     is_leaving: bool = False
+    pause_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True):
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -79,6 +79,12 @@
         :returns: requests a second that it takes from all instances.
         """
 
+    def read_pause_s(self, reply) -> float:
+        """Return the seconds for which a target wants nothing, or 0.
+
+        This concerns the instance that got the reply only.
+        """
+
     def is_leaving(self, reply) -> bool:
         """Return whether a target says that it gets no new requests."""
 
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -154,10 +154,14 @@
         :param now: runtime clock time in seconds.
         """
         states = self.target_registry.list_usable(service)
-        reachable = [s for s in states if not s.is_unreachable(now)]
+        wanting = [s for s in states if not s.is_paused(now)]
+        if states and not wanting:
+            retry_at = min(s.paused_until for s in states)
+            return reachability.Outlook(retry_at <= until, retry_at)
+        reachable = [s for s in wanting if not s.is_unreachable(now)]
         if not reachable:
             retry_at = min(
-                (s.unreachable_until for s in states), default=math.inf
+                (s.unreachable_until for s in wanting), default=math.inf
             )
             return reachability.Outlook(False, retry_at)
         turn_at = self.rates.expect_turn(
@@ -168,14 +172,22 @@
         return reachability.Outlook(is_in_time, turn_at, tokens)
 
     def expect_turn(self, service, now):
-        """Return when the limits of targets allow one more send.
+        """Return when the targets of a service allow one more send.
 
         The sends that wait already go first.
 
         :returns: runtime clock time in seconds.
         """
         states = self.target_registry.list_usable(service)
-        return self.rates.expect_turn(states, len(self.line(service)), now)
+        wanting = [s for s in states if not s.is_paused(now)]
+        if states and not wanting:
+            return min(s.paused_until for s in states)
+        return self.rates.expect_turn(wanting, len(self.line(service)), now)
+
+    def is_paused(self, service, now):
+        """Return whether all targets of a service want nothing now."""
+        states = self.target_registry.list_usable(service)
+        return bool(states) and all(s.is_paused(now) for s in states)
 
     def count_tokens(self, service, now):
         """Return how many sends the limits of a service's targets allow now.
@@ -188,7 +200,8 @@
     def may_borrow(self, service, now):
         """Return whether another instance may lend a token for a service."""
         states = self.target_registry.list_usable(service)
-        return self.rates.may_borrow(states, now)
+        wanting = [s for s in states if not s.is_paused(now)]
+        return self.rates.may_borrow(wanting, now)
 
     def line(self, service):
         """Return the WaitingLine of a service; it is made if needed."""
@@ -275,6 +288,7 @@
             if s.target.id not in tried
             and s.has_room
             and not s.is_unreachable(now)
+            and not s.is_paused(now)
             and self._is_cold_send_allowed(s, now)
         ]
         self.rates.borrow(states, len(self.line(service)) + 1, now)
@@ -291,9 +305,11 @@
         :param now: runtime clock time in seconds.
         :param keeps_reserve: see ``pick``.
         """
-        return self.rates.may_send(
-            state, now, keeps_reserve
-        ) and self._is_cold_send_allowed(state, now)
+        return (
+            not state.is_paused(now)
+            and self.rates.may_send(state, now, keeps_reserve)
+            and self._is_cold_send_allowed(state, now)
+        )
 
     def record_send(self, state, kind, now, is_paid=False):
         """Count a send toward the limits of its target and in the metrics.
@@ -328,6 +344,7 @@
             return
         if self.dialect.is_leaving(reply):
             self.record_leaving(state)
+        self.record_pause(state, self.dialect.read_pause_s(reply))
         rate_per_s = self.dialect.read_rate_limit(reply)
         self.record_statement(state, verdict, rate_per_s, sent_at)
 
@@ -345,6 +362,25 @@
             return
         self.rates.record_statement(state, rate_per_s, sent_at, self.now())
 
+    def record_pause(self, state, pause_s):
+        """Record that a target wants nothing for some time, as it says.
+
+        :param pause_s: seconds from now on; 0 if it says nothing.
+        """
+        if pause_s <= 0:
+            return
+        now = self.now()
+        state.pause(now + pause_s)
+        self.metrics.count('target_pauses')
+        self.log.event(
+            'target.paused',
+            target=state.target.id,
+            service=state.target.service,
+            for_s=round(state.paused_until - now, 3),
+        )
+        # Its sends may be able to go elsewhere, or have to be refused.
+        self.wake_line(state.target.service)
+
     def record_leaving(self, state):
         """Record that a target gets no new requests, as it says itself."""
         if state.is_leaving:
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -355,7 +355,8 @@
             self.service, now
         )
         if self.is_dispensable or is_too_late:
-            self.reason = 'rate limits'
+            is_paused = self._engine.is_paused(self.service, now)
+            self.reason = 'paused' if is_paused else 'rate limits'
             wait_until = now
         if now >= wait_until:
             self._finish(State.FAILED)
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -130,7 +130,11 @@
         removed = self._by_id.pop(target_id, None)
         if removed is not None:
             self._drop(removed)
-            if removed.rate.is_limited or removed.is_leaving:
+            if (
+                removed.rate.is_limited
+                or removed.is_leaving
+                or removed.is_paused(now)
+            ):
                 self._removed[target_id] = _Removed(removed, now)
             self._log.event(
                 'target.gone', target=target_id, service=removed.target.service
@@ -189,7 +193,9 @@
             now,
             former.rate if former is not None else None,
         )
-        state.is_leaving = former is not None and former.is_leaving
+        if former is not None:
+            state.is_leaving = former.is_leaving
+            state.pause(former.paused_until)
         return state
 
     def _extend_cold_period(self, state, now):
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -66,6 +66,7 @@
         self._outcome_at = now
         self._cold_sends = []
         self.is_leaving = False
+        self.paused_until = 0.0
         self.rate = rate or limiter.RateLimiter(target.id, now)
 
     def relative_latency(self, now):
@@ -152,6 +153,14 @@
         """Record that another target answers at the address."""
         self.misdirected_until = now + MISDIRECTED_S
 
+    def pause(self, until):
+        """Record that the target wants nothing until a time."""
+        self.paused_until = max(self.paused_until, until)
+
+    def is_paused(self, now):
+        """Return whether the target wants nothing now, as it has said."""
+        return now < self.paused_until
+
     def is_ejected(self, now):
         """Return whether the target is ejected because of its failures."""
         return now < self.ejected_until
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,5 +1,7 @@
 """HTTP headers that the platform's callers and targets use."""
 
+import math
+
 from savorycross.forward import call as calls
 from savorycross.rate import statement
 from savorycross.wire import messages
@@ -98,6 +100,12 @@
         """Return the requests a second that a target takes, or None."""
         return statement.parse_rate(reply.header(_RATE_LIMIT))
 
+    def read_pause_s(self, reply):
+        """Return the seconds for which a target wants nothing, or 0."""
+        if reply.status != 503:
+            return 0.0
+        return _read_seconds(reply.header(b'retry-after'))
+
     def is_leaving(self, reply):
         """Return whether a target says that it is about to end."""
         return reply.header(_LEAVING) == b'1'
@@ -130,6 +138,15 @@
         return messages.Reply(status, headers)
 
 
+def _read_seconds(value):
+    """Return the seconds that a header states, or 0 if it states none."""
+    try:
+        seconds = float(value or b'0')
+    except ValueError:
+        return 0.0
+    return seconds if 0.0 < seconds < math.inf else 0.0
+
+
 def _read_deadline(value):
     """Return the seconds in a header of milliseconds, or None."""
     if value is None or not value.isdigit():
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -51,7 +51,8 @@
     :param rng: random.Random for work times.
 
     ``stated_rate`` is the StatedRate of all requests to it, ``is_leaving``
-    whether its answers say that it leaves.
+    whether its answers say that it leaves. With ``pause_s`` it refuses all
+    requests for so many seconds each, and ``refused_at`` holds the times.
     """
 
     def __init__(self, id_, service, zone, model, nursery, runs, rng):
@@ -63,6 +64,8 @@
         self.fail_share = 0.0
         self.lose_share = 0.0
         self.is_leaving = False
+        self.pause_s = 0.0
+        self.refused_at = []
         self.stated_rate = stated_rate.StatedRate()
         self.announced_address = None
         self.address = None
@@ -132,6 +135,11 @@
         ):
             respond(messages.Reply(421, headers))
             return
+        if self.pause_s:
+            self.refused_at.append(trio.current_time())
+            pause = (b'Retry-After', b'%.3f' % self.pause_s)
+            respond(messages.Reply(503, (*headers, (b'Not-Run', b'1'), pause)))
+            return
         if self._busy >= self.slots + 8:
             respond(messages.Reply(503, (*headers, (b'Not-Run', b'1'))))
             return
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -172,6 +172,34 @@
     assert leaving.id not in {run.backend for run in runs}
 
 
+async def test_targets_that_refuse_for_a_time_get_nothing_until_its_end(
+    two_instances,
+):
+    two_instances.testbed.store.is_busy = True
+    pausing = two_instances.backends('one')
+    for backend in pausing:
+        backend.pause_s = 3.0
+    started_at = trio.current_time()
+    number = 0
+    # Calls whose deadline is after the pauses wait for their end.
+    while trio.current_time() < started_at + 1.2:
+        number += 1
+        id_ = b'call-%d' % number
+        asked_at = trio.current_time()
+        reply = await two_instances.call(b'/one/x', id_, instance=number % 2)
+        assert reply.status == 503
+        assert float(reply.header(b'retry-after')) > 0
+        assert trio.current_time() < asked_at + 0.3
+        await trio.sleep(0.05)
+    for backend in pausing:
+        first_at = min(backend.refused_at)
+        assert not [t for t in backend.refused_at if t > first_at + 0.5]
+        backend.pause_s = 0.0
+    await trio.sleep(started_at + 4.0 - trio.current_time())
+    reply = await two_instances.call(b'/one/x', b'after')
+    assert reply.status == 200
+
+
 async def test_remote_parts_arrive_through_a_delegate_or_directly(
     two_instances,
 ):
