--- a/tests/delegate/test_batch_handler.py
+++ b/tests/delegate/test_batch_handler.py
@@ -19,6 +19,10 @@
             self.engine.add_target(name, f's-{name}')
         self.handler = batch_handler.BatchHandler(self.engine)
         self.chunks = []
+        self.running = self.request(targets, **fields)
+
+    def request(self, targets, **fields):
+        """Handle a batch to targets and return the running batch."""
         batch_fields = {
             'format': protocol.FORMAT,
             'id': fake_engine.ID,
@@ -33,7 +37,7 @@
             'targets': targets,
             **fields,
         }
-        self.running = self.handle(
+        return self.handle(
             protocol.encode(protocol.BatchRequest(**batch_fields))
         )
 
--- a/tests/forward/test_leaving.py
+++ b/tests/forward/test_leaving.py
@@ -93,20 +93,7 @@
     run.answer(2)
     (rows,) = run.results
     assert [r.is_leaving for r in rows] == [True, False, False]
-    again = protocol.BatchRequest(
-        protocol.FORMAT,
-        fake_engine.ID,
-        b'GET',
-        b'/p/x',
-        (),
-        b'',
-        500,
-        20,
-        10.0,
-        2,
-        ('a',),
-    )
-    run.handle(protocol.encode(again))
+    run.request(('a',))
     assert run.results[-1][0].outcome is protocol.Outcome.NOT_RUN
     assert run.results[-1][0].is_leaving
     assert len(run.engine.sends) == 3
--- a/tests/forward/test_pauses.py
+++ b/tests/forward/test_pauses.py
@@ -112,21 +112,7 @@
     run.answer(0, status=503, Not_Run=b'1', Retry_After=b'2')
     (result,) = run.results[0]
     assert result.pause_ms == 2000
-    paid = protocol.BatchRequest(
-        protocol.FORMAT,
-        fake_engine.ID,
-        b'GET',
-        b'/p/x',
-        (),
-        b'',
-        500,
-        20,
-        10.0,
-        2,
-        ('a',),
-        frozenset({0}),
-    )
-    run.handle(protocol.encode(paid))
+    run.request(('a',), paid=frozenset({0}))
     assert run.results[-1][0].outcome is protocol.Outcome.NOT_RUN
     assert len(run.engine.sends) == 1
 
