Refuse waiting calls once all their targets pause for longer

A call that waited in line when its last target asked for a pause was held until its wait ended, though it could not be served.

Evidence: test_waiting_call_is_refused_once_all_targets_pause_for_longer, failed before (held for the rest of its second).

--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -85,7 +85,8 @@
     def _is_revived(self, item, removed_at):
         """Return whether a restored store shows a removed item again.
 
-        What it shows later was written later.
+        Only the first listing of an era can: what comes later was written in
+        that era.
 
         :param removed_at: Revision of the item's removal.
         """
@@ -154,7 +155,11 @@
         return changes
 
     def list_items(self):
-        """Return the Items in the store, those held back included."""
+        """Return the Items that the store shows, as far as known.
+
+        Items whose removal is held back are left out, and those are in that
+        came back with a restored store and are held back.
+        """
         listed = [
             i for i in self.items.values() if i.key not in self._held_removals
         ]
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -323,7 +323,8 @@
     def try_turn(self, now):
         """Send if there is room now; return whether the send was made.
 
-        A send without budget leaves the line, as it would hold up others.
+        A send without budget leaves the line, as it would hold up others, and
+        so does one for which no target has use in time.
         """
         line = self._engine.line(self.service)
         if now >= self.end_at:
@@ -335,8 +336,18 @@
         if self._lacks_budget:
             line.leave(self)
             self._wait_for_budget(now)
+        elif self._is_paused_too_long(now):
+            self.reason = 'paused'
+            self._stop_waiting()
         return False
 
+    def _is_paused_too_long(self, now):
+        """Return whether all targets want nothing for as long as it waits."""
+        if not self._engine.is_paused(self.service, now):
+            return False
+        turn_at = self._engine.expect_turn(self.service, now)
+        return turn_at > self._wait_until(now)
+
     def _send_or_wait(self):
         """Send, wait for a target with room or for budget, or fail."""
         now = self._engine.now()
--- a/tests/forward/test_pauses.py
+++ b/tests/forward/test_pauses.py
@@ -133,3 +133,19 @@
 def test_pause_is_read_from_refusals_with_503_only(status, value, expected):
     reply = messages.Reply(status, ((b'Retry-After', value),))
     assert dialect.PlatformDialect().read_pause_s(reply) == expected
+
+
+def test_waiting_call_is_refused_once_all_targets_pause_for_longer():
+    engine = _make('a')
+    (state,) = engine.target_registry.states()
+    state.pool.has_room = False
+    ends = []
+    started_at = engine.time
+    fake_engine.start_call(engine, ends)
+    engine.advance(0.1)
+    assert not ends
+    engine.record_pause(state, PAUSE_S)
+    engine.advance(0.05)
+    ((ended_at, outcome),) = ends
+    assert outcome == 'refused'
+    assert ended_at <= started_at + 0.15
