--- a/standins/fleet/dialect.py
+++ b/standins/fleet/dialect.py
@@ -61,6 +61,14 @@
         value = reply.header(RATE_LIMIT)
         return None if value is None else float(value)
 
+    def read_pause_s(self, reply):
+        """Return 0, as targets of the model ask for no pause."""
+        return 0.0
+
+    def is_leaving(self, reply):
+        """Return False, as targets of the model do not leave."""
+        return False
+
     def make_part(self, stamp, body):
         """Return a successful Reply."""
         return messages.Reply(200, ((ID, stamp),), body)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,6 +1,8 @@
 import pytest
 
 from savorycross import errors
+from savorycross.forward import call
+from standins.fleet import dialect as fleet_dialect
 from standins import platform_model
 
 
@@ -40,3 +42,8 @@
     store = platform_model.PlatformModel()
     nursery.start_soon(store.put, 'k', b'v', 0)
     assert (await store.watch('k', 0, 10.0)).value == b'v'
+
+
+def test_dialect_of_the_fleet_has_all_methods_that_calls_use():
+    names = {n for n in vars(call.Dialect) if not n.startswith('_')}
+    assert names <= set(dir(fleet_dialect.ModelDialect))
