Name the era on the product's own interface in its own way

The header of the own key-value service is X-Era, like its other headers; the platform's name stays in savorycross/platform.

--- a/savorycross/store/http.py
+++ b/savorycross/store/http.py
@@ -130,5 +130,5 @@
 
     def _read_era(self, headers):
         for name, value in headers:
-            if name.lower() == b'store-era' and value.isdigit():
+            if name.lower() == b'x-era' and value.isdigit():
                 self.era = int(value)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -33,7 +33,7 @@
             return self._control(json.loads(request.body))
         try:
             answer = await self._answer(request)
-            answer.headers['Store-Era'] = str(self.model.era)
+            answer.headers[b'X-Era'] = b'%d' % self.model.era
             return answer
         except errors.StoreConflictError:
             return http_server.Response(409, b'{}')
--- a/tests/booking/test_idempotency_keys.py
+++ b/tests/booking/test_idempotency_keys.py
@@ -5,6 +5,8 @@
 
 from savorycross.booking import idempotency_keys
 from savorycross import errors
+from savorycross.store import http
+from standins import platform
 from standins import platform_model
 
 
@@ -62,3 +64,16 @@
     store.calls.clear()
     await trio.sleep(60)
     assert not store.calls
+
+
+async def test_store_over_http_names_its_era_in_each_reply(nursery):
+    model = platform_model.PlatformModel()
+    nursery.start_soon(platform.serve, model, 20961)
+    await trio.testing.wait_all_tasks_blocked()
+    store = http.HttpStore(('127.0.0.1', 20961))
+    await store.get('absent')
+    assert store.era == 1
+    model.restore(model.make_copy())
+    await store.put('k', b'v', 0)
+    assert store.era == 2
+    await store.aclose()
