Take nothing for lost that came in force after the store was asked

Cause, as far as shown: an instance that hears of a new view between its read of the store and its decision took the stored one for a sign of a restore and proposed its own again. While it proposes, it acknowledges no view, so that owners lose their certainty for a moment. The same with sheets, which were only written again in vain. Change: what is read counts as lost only against what was held before the store was asked.

--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -165,6 +165,7 @@
         self.target_client = dependencies.make_target_client(self)
 
     def _make_group(self, datagrams):
+        self._catalogue_adopted_at = trio.current_time()
         self._manifest_recovery = recovery.ManifestRecovery(
             self.dependencies.store, self.journal
         )
@@ -455,9 +456,15 @@
         """Return the number of queries and bookings in progress."""
         return float(self.queries.in_progress + self.bookings.in_progress)
 
-    async def _on_manifest(self, manifest, revision):
+    async def _on_manifest(self, manifest, revision, asked_at):
         """Read the catalogue that a newer manifest in the store names."""
-        await self._manifest_recovery.check(manifest, revision, self.catalogue)
+        await self._manifest_recovery.check(
+            manifest,
+            revision,
+            self.catalogue,
+            self._catalogue_adopted_at,
+            asked_at,
+        )
         if manifest.version <= self.catalogue.version:
             return
         catalogue = await publish.read_catalogue(
@@ -467,6 +474,7 @@
             self._on_catalogue('store')
 
     def _on_catalogue(self, source):
+        self._catalogue_adopted_at = trio.current_time()
         self.journal.record(
             'config.adopted', str(self.catalogue.version), source=source
         )
--- a/savorycross/membership/group.py
+++ b/savorycross/membership/group.py
@@ -27,8 +27,9 @@
     :param datagrams: sends Datagram messages to members.
     :param header: callable that returns a detector Header.
     :param on_view: called with each newer View.
-    :param on_manifest: awaited with each Manifest read from the store and
-        its revision.
+    :param on_manifest: awaited with each Manifest read from the store, its
+        revision, and the runtime clock time in seconds at which it was asked
+        for.
     :param on_liveness: called after peers have changed their status, or
         have been added or removed.
     :param journal: Journal.
@@ -169,16 +170,23 @@
         :raises StoreUnavailableError: if the store cannot be read.
         """
         asked_at = trio.current_time()
+        held = self.view
         entry = await self._store.get(views.VIEW_KEY)
         view = _decode_view(entry)
         manifest, revision = await publish.read_manifest(self._store)
         self.adopt(view)
-        await self._on_manifest(manifest, revision)
+        await self._on_manifest(manifest, revision, asked_at)
         generation = leases.Generation(view.epoch, manifest.version)
         self.ownership_lease.record_store_read(generation, asked_at)
-        await self._propose(view, entry.revision)
+        await self._propose(view, held, entry.revision)
 
-    async def _propose(self, view, revision):
+    async def _propose(self, view, held, revision):
+        """Propose the view that is due in place of the stored one, if any.
+
+        :param view: View read from the store.
+        :param held: View that this instance had adopted before it asked.
+        :param revision: revision of the view's key.
+        """
         now = trio.current_time()
         self._join_requests = {
             name: (m, asked_at)
@@ -188,7 +196,7 @@
         joining = [m for m, _ in self._join_requests.values()]
         dead = self.detector.dead_members()
         proposal = self._view_proposer.propose(
-            view, self.view, joining, dead, self.leaving, now
+            view, held, joining, dead, self.leaving, now
         )
         if proposal is None:
             return
--- a/savorycross/membership/view_proposer.py
+++ b/savorycross/membership/view_proposer.py
@@ -32,9 +32,9 @@
         """Return the Proposal that is due, or None.
 
         :param view: the View read from the store.
-        :param held: the View that this instance has adopted. If the store
-            holds an earlier one, it was restored from an older copy, and a
-            member writes the one that it lost as the next view.
+        :param held: the View that this instance had adopted before it asked.
+            If the store holds an earlier one, it was restored from an older
+            copy, and a member writes the one that it lost as the next view.
         :param joining: Members that asked this instance to add them.
         :param dead: Members that this instance believes dead.
         :param leaving: True once this instance has drained and leaves.
--- a/savorycross/sheet/recovery.py
+++ b/savorycross/sheet/recovery.py
@@ -64,14 +64,21 @@
         self._journal = journal
         self._seen = publish.Manifest()
 
-    async def check(self, stored, revision, current):
+    async def check(self, stored, revision, current, held_since, asked_at):
         """Compare the manifest in the store with the catalogue in force.
 
+        One that came in force after the store was asked may be in the store
+        by now.
+
         :param stored: Manifest in the store.
         :param revision: revision of the manifest's key.
         :param current: Catalogue in force.
+        :param held_since: when it came in force; runtime clock, seconds.
+        :param asked_at: when the store was asked; runtime clock, seconds.
         :raises StoreUnavailableError: if the store does not answer.
         """
+        if held_since >= asked_at:
+            return
         recovery = plan_recovery(stored, self._seen, current)
         if recovery is None:
             self._seen = stored
--- /dev/null
+++ b/tests/membership/test_group.py
@@ -0,0 +1,91 @@
+"""A group that reads its view from a store, while views change."""
+
+import pytest
+
+from savorycross.catalogue import catalogue
+from savorycross.events import clock
+from savorycross.events import journal
+from savorycross.membership import detector
+from savorycross.membership import group
+from savorycross.membership import member
+from savorycross.membership import view as views
+from savorycross.sheet import publish
+from savorycross.sheet import recovery
+from standins import platform_model
+
+OWN = member.Member('a', 'x', '127.0.0.1', 1, 2, member.make_incarnation(1))
+OTHER = member.Member('b', 'x', '127.0.0.1', 3, 4, member.make_incarnation(1))
+
+
+async def _ignore(*args):
+    """Do nothing."""
+
+
+def _make(store):
+    events = journal.Journal(clock.HybridClock(lambda: 0), OWN.name)
+    made = group.Group(
+        OWN,
+        store,
+        None,
+        detector.Header,
+        lambda view: None,
+        _ignore,
+        lambda: None,
+        events,
+    )
+    return made, events
+
+
+@pytest.fixture
+async def stored(autojump_clock):
+    """Return a store that holds the first view, of one member."""
+    store = platform_model.PlatformModel()
+    first = views.EMPTY_VIEW.with_member(OWN)
+    await store.put(views.VIEW_KEY, views.encode(first), 0)
+    return store, first
+
+
+async def test_view_that_a_peer_tells_during_a_read_is_not_taken_for_lost(
+    stored, autojump_clock, monkeypatch
+):
+    store, first = stored
+    tested, events = _make(store)
+    tested.adopt(first)
+    get = store.get
+
+    async def get_and_hear_of_the_next_view(key):
+        entry = await get(key)
+        tested.adopt(first.with_member(OTHER))
+        return entry
+
+    monkeypatch.setattr(store, 'get', get_and_hear_of_the_next_view)
+    await tested.sync()
+    assert not [e for e in events.select() if e.kind == 'view.proposed']
+
+
+async def test_view_that_was_held_before_the_read_is_written_again(
+    stored, autojump_clock
+):
+    store, first = stored
+    tested, events = _make(store)
+    held = first.with_member(OTHER)
+    tested.adopt(held)
+    await tested.sync()
+    assert tested.view.members == held.members
+    assert tested.view.epoch == held.epoch + 1
+    entry = await store.get(views.VIEW_KEY)
+    assert views.decode(entry.value) == tested.view
+
+
+async def test_sheet_that_is_announced_during_a_read_is_not_taken_for_lost(
+    stored, autojump_clock
+):
+    store, _ = stored
+    events = journal.Journal(clock.HybridClock(lambda: 0), OWN.name)
+    tested = recovery.ManifestRecovery(store, events)
+    older = publish.Manifest(1, 'op', catalogue.Catalogue().digest)
+    current = catalogue.Catalogue(version=2)
+    await tested.check(older, 0, current, held_since=5.0, asked_at=4.0)
+    assert not events.select()
+    await tested.check(older, 0, current, held_since=5.0, asked_at=6.0)
+    assert [e.kind for e in events.select()] == ['config.recovered']
