Let an instance that has read no manifest recover no sheet

On the product's own interface, an accepted sheet could have gone back: an instance that starts while a restored store shows an older copy, and gets the catalogue in force from a peer, knew no ids of writes. So it took the copy for a sheet that an operator had applied since, and would have written it as the next version.

Change: without a manifest that it has read, an instance leaves the recovery to the others, and it remembers none that is behind its catalogue. Evidence: one test in tests/sheet/test_recovery.py, failed before; the test of a sheet announced during a read reads a manifest first now, with the same assertions.

--- a/savorycross/sheet/recovery.py
+++ b/savorycross/sheet/recovery.py
@@ -28,6 +28,9 @@
 def plan_recovery(stored, seen, current):
     """Return the Recovery that is due, or None.
 
+    An instance that has read no manifest cannot tell an older copy from a
+    sheet that was applied since, and leaves it to the others.
+
     :param stored: Manifest in the store.
     :param seen: Manifest of the newest version that this instance has read.
     :param current: Catalogue in force.
@@ -42,7 +45,9 @@
     >>> plan_recovery(applied_since, seen, in_force)
     Recovery(takes_stored=True, writes=('a', 'b', 'c', 'x'))
     """
-    if not current.version or stored.version > current.version:
+    if not current.version or not seen.version:
+        return None
+    if stored.version > current.version:
         return None
     if stored.version == current.version and stored.digest == current.digest:
         return None
@@ -81,7 +86,8 @@
             return
         recovery = plan_recovery(stored, self._seen, current)
         if recovery is None:
-            self._seen = stored
+            if stored.version >= current.version:
+                self._seen = stored
             return
         recovered = current
         if recovery.takes_stored:
--- a/tests/membership/test_group.py
+++ b/tests/membership/test_group.py
@@ -84,6 +84,8 @@
     events = journal.Journal(clock.HybridClock(lambda: 0), OWN.name)
     tested = recovery.ManifestRecovery(store, events)
     older = publish.Manifest(1, 'op', catalogue.Catalogue().digest)
+    first = catalogue.Catalogue(version=1)
+    await tested.check(older, 0, first, held_since=1.0, asked_at=2.0)
     current = catalogue.Catalogue(version=2)
     await tested.check(older, 0, current, held_since=5.0, asked_at=4.0)
     assert not events.select()
--- a/tests/sheet/test_recovery.py
+++ b/tests/sheet/test_recovery.py
@@ -41,3 +41,11 @@
     assert planned.takes_stored is expected
     assert planned.writes[:3] == SEEN.writes
     assert (planned.writes[3:] == ('z',)) is expected
+
+
+def test_instance_that_has_read_no_manifest_takes_no_copy_for_a_new_sheet():
+    current = catalogue.Catalogue(version=3)
+    planned = recovery.plan_recovery(
+        _manifest(1, 'a'), publish.Manifest(), current
+    )
+    assert planned is None
