--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's store, backends and callers of the cases."""
