--- a/review/standin/backend.py
+++ b/review/standin/backend.py
@@ -5,6 +5,9 @@
 
 from standin import wire
 
+# How often a run looks whether its connection was closed, which ends it.
+CLOSE_CHECK_S = 0.02
+
 
 class Backend:
     """Runs ``slots`` requests at once and queues some more.
@@ -64,7 +67,7 @@
         last_reply = b''
         while (request := await wire.read(reader)) is not None:
             self.before_request(writer, last_reply)
-            last_reply = await self._answer(request)
+            last_reply = await self._answer(request, reader)
             if not last_reply:
                 return
             writer.write(last_reply)
@@ -76,7 +79,7 @@
         :param last_reply: bytes of its previous reply on the connection.
         """
 
-    async def _answer(self, request):
+    async def _answer(self, request, reader):
         headers = request.headers
         id_ = headers.get('request-id', '')
         if request.start[1] == '/healthz':
@@ -84,21 +87,31 @@
         if headers.get('expect-instance', self.id) != self.id:
             return self._refuse(421, id_)
         self.arrivals.append((time.monotonic(), id_))
+        self._record(f"{self.id} got {id_}")
         if self._busy >= self._slot_count + self._queue:
             self._record(f'{self.id} refused {id_}')
             return self._refuse(503, id_)
         self._busy += 1
         try:
             async with self._slots:
-                return await self.run(request, id_)
+                if reader.at_eof():
+                    return b''
+                return await self._run(id_, reader)
         finally:
             self._busy -= 1
 
-    async def run(self, request, id_):
-        """Run a request and return the reply as bytes."""
+    async def _run(self, id_, reader):
+        """Run a request; return the reply as bytes.
+
+        :returns: nothing if the connection was closed meanwhile.
+        """
         self.runs.append((id_, self.id, time.monotonic()))
         self._record(f'{self.id} runs {id_}')
-        await asyncio.sleep(self._choose_work_s())
+        end_at = time.monotonic() + self._choose_work_s()
+        while (left_s := end_at - time.monotonic()) > 0:
+            await asyncio.sleep(min(left_s, CLOSE_CHECK_S))
+            if reader.at_eof():
+                return b''
         stamp = f'{self.id}.{len(self.runs)}'
         return wire.encode(
             'HTTP/1.1 200 .',
