--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -38,6 +38,13 @@
 ready = "{ip}:8227"
 control = "{ip}:8224"
 directory = "{ip}:8225"
+[limits]
+cpu_share = 0.817
+cores = 2
+memory_mb = 430
+max_fds = 6150
+link_mbps = 1500.0
+disk_mb = 0
 [bounds]
 addr_reuse_s = 2
 contact_ms = 4000
@@ -126,6 +133,17 @@
         """Send a signal to the process."""
         self.process.send_signal(number)
 
+    @property
+    def memory_mb(self):
+        """Resident memory of the process, 0 if it has ended."""
+        path = pathlib.Path(f'/proc/{self.process.pid}/status')
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return 0
+        rows = [line.split() for line in lines if line.startswith('VmRSS')]
+        return int(rows[0][1]) // 1024 if rows else 0
+
     @property
     def is_running(self):
         """Whether the process has not ended."""
