Add review case 3: an unreadable entry stops a restored store's followers

Disruption: the store is restored from a copy 9 s old, and holds an entry of another writer that nobody can read.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,10 @@
-"""A planned stop of the only machine, under load."""
+"""A restored store that holds an entry which cannot be read."""
 
 import asyncio
 import collections
-import json
 import os
 import pathlib
 import random
-import signal
 import sys
 import time
 
@@ -17,20 +15,23 @@
 from standin import caller  # noqa: E402
 from standin import deployment  # noqa: E402
 from standin import store as stores  # noqa: E402
-from standin import wire  # noqa: E402
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+INSTANCES = 2
 BACKENDS = 3
 SLOTS = 4
 QUEUE = 8
-CALLERS = 12
+CALLERS = 6
+# Doses of `platform_down` with `how = "restored"`: x and for_s.
+COPY_AGE_S = 9.0
+DOWN_S = 2.0
 CALM_S = 3.0
-GRACE_S = 6.0
-# Requests that were sent no later than this after the signal may be cut.
-EXCUSED_S = 3.0
-LOSS_SLACK_S = 0.2
-DEADLINE_MS = 2000
-# Logarithm of 86 ms; with the spread the mean is 98 ms.
+# Bounds of the settings.
+CONTACT_S = 4.0
+DRAIN_S = 3.0
+JUDGED_S = 5.0
+# An entry of another writer that breaks off within nested lists.
+UNREADABLE = b'{"service": "desk", "note": ' + b'[' * 5000
 WORK_LOG_MEAN = -2.45
 
 
@@ -39,46 +40,13 @@
     return min(random.lognormvariate(WORK_LOG_MEAN, 0.5), 0.54)
 
 
-class Resolver:
-    """Asks the directory, and keeps the last list while it gives none."""
-
-    def __init__(self, ip, record):
-        self.addresses = []
-        self._ip = ip
-        self._record = record
-        self._until = 0.0
-
-    async def resolve(self):
-        """Return the addresses of the last list that the directory gave."""
-        now = time.monotonic()
-        if now < self._until:
-            return self.addresses
-        self._until = now + 1.0
-        data = wire.encode(
-            f'GET /v1/resolve?name={deployment.HOST}'
-            '&region=norte&zone=bilbo HTTP/1.1',
-            {'Host': deployment.HOST},
-        )
-        reply = await wire.call(self._ip, 8225, data, 1.0)
-        if reply is not None and reply.status == 200:
-            answer = json.loads(reply.body)
-            self.addresses = answer['addrs']
-            self._until = now + min(answer['ttl_s'], 5.0)
-        self._record(
-            f'directory answered {reply.status if reply else "nothing"}, '
-            f'callers use {self.addresses}'
-        )
-        return self.addresses
-
-
-async def call(instance, resolver, record, answers, times, end_at):
-    """Send requests until a time, or until the process has ended."""
-    one = caller.Caller(instance.ip, record, answers)
-    while time.monotonic() < end_at and instance.is_running:
-        await resolver.resolve()
+async def call(ip, record, answers, sent_at, end_at):
+    """Send requests until a time."""
+    one = caller.Caller(ip, record, answers)
+    while time.monotonic() < end_at:
         started_at = time.monotonic()
-        reply = await one.send('/card/2f', DEADLINE_MS)
-        times[list(answers)[-1]] = started_at, time.monotonic()
+        reply = await one.send('/card/2f', 2000)
+        sent_at[list(answers)[-1]] = started_at
         if reply is None or reply.status != 200:
             await asyncio.sleep(0.05)
     one.close()
@@ -89,82 +57,68 @@
     record = deployment.Record(FOLDER / 'record.txt')
     store = stores.Store()
     address = await store.start('127.0.0.1')
-    runs, answers, times, backends = [], {}, {}, []
-    for n in range(BACKENDS):
-        one = backend.Backend(
+    runs, answers, sent_at = [], {}, {}
+    backends = [
+        backend.Backend(
             f'b{n}', 'desk', store, record, runs, SLOTS, QUEUE, choose_work_s
         )
+        for n in range(BACKENDS)
+    ]
+    for one in backends:
         await one.start('127.0.0.1')
-        backends.append(one)
+    store.put('servers/a0', UNREADABLE)
     route = {
         'name': 'card',
         'prefix': '/card/',
         'service': 'desk',
-        'timeout_ms': DEADLINE_MS,
+        'timeout_ms': 2000,
         'goal_ms': 426,
     }
     store.put_json(
         'op/config',
         deployment.make_configuration(1, [route], [{'name': 'desk'}]),
     )
-    with deployment.start(1, address) as (instance,):
-        await instance.wait_until_ready()
-        resolver = Resolver(instance.ip, record)
-        start_at = time.monotonic()
-        tasks = [
-            asyncio.create_task(
-                call(
-                    instance,
-                    resolver,
-                    record,
-                    answers,
-                    times,
-                    start_at + CALM_S + GRACE_S,
-                )
-            )
-            for _ in range(CALLERS)
-        ]
+    with deployment.start(INSTANCES, address) as instances:
+        for instance in instances:
+            await instance.wait_until_ready()
         await asyncio.sleep(CALM_S)
-        signalled_at = time.monotonic()
+        older = store.make_copy()
+        await asyncio.sleep(COPY_AGE_S)
         if HAS_TROUBLE:
-            record('SIGTERM')
-            instance.send(signal.SIGTERM)
-        while time.monotonic() < signalled_at + GRACE_S:
-            if not instance.is_running:
-                seconds = time.monotonic() - signalled_at
-                record(f'the process ended {seconds:.3f} s after the signal')
-                break
-            await asyncio.sleep(0.01)
-        if instance.is_running and HAS_TROUBLE:
-            record('SIGKILL')
-            instance.send(signal.SIGKILL)
-        await asyncio.gather(*tasks)
-    arrived = {id_ for one in backends for _, id_ in one.arrivals}
-    return check(record, arrived, answers, times, signalled_at)
-
-
-def check(record, arrived, answers, times, signalled_at):
-    """Check LOST; return the exit status.
-
-    :param arrived: ids of the requests that were passed on to a backend.
-    :param times: when each request was sent, and when its answer or the end
-        of its connection came.
-    """
-    lost = [
-        id_
-        for id_, status in answers.items()
-        if status is None
-        and (id_ in arrived or times[id_][1] - times[id_][0] > LOSS_SLACK_S)
+            record('the store is down')
+            store.is_busy = True
+            await asyncio.sleep(DOWN_S)
+            store.restore(older)
+            store.is_busy = False
+            record('the store is back from its copy')
+        await asyncio.sleep(CONTACT_S)
+        backends[0].announce(state='draining')
+        due_at = time.monotonic() + DRAIN_S
+        record('the store has accepted that b0 drains')
+        end_at = due_at + JUDGED_S
+        await asyncio.gather(
+            *(
+                call(instance.ip, record, answers, sent_at, end_at)
+                for instance in instances
+                for _ in range(CALLERS)
+            )
+        )
+    return check(record, backends[0], answers, sent_at, due_at)
+
+
+def check(record, draining, answers, sent_at, due_at):
+    """Check DRAIN; return the exit status."""
+    late = [
+        id_ for _, id_ in draining.arrivals if sent_at.get(id_, 0.0) > due_at
     ]
-    late = [id_ for id_ in lost if times[id_][0] > signalled_at + EXCUSED_S]
+    due = sum(at > due_at for at in sent_at.values())
     for id_ in late:
-        after_s = times[id_][0] - signalled_at
-        record(f'LOST: {id_}, sent {after_s:.3f} s after the signal')
-    statuses = collections.Counter(answers.values())
+        after_s = sent_at[id_] - due_at + DRAIN_S
+        record(f'DRAIN: {id_}, sent {after_s:.3f} s after the store accepted')
     text = (
-        f'{len(answers)} requests, answers {dict(statuses)}, '
-        f'cut {len(lost)}, '
-        f'of these LOST {len(late)}'
+        f'answers {dict(collections.Counter(answers.values()))}, '
+        f'{due} requests sent later than {DRAIN_S} s, '
+        f'{len(late)} of them reached the draining backend'
     )
     record(text)
     print(text)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,12 @@
-"""Replies without end, while other services are sound."""
+"""A planned stop of the only machine, under load."""
 
 import asyncio
 import collections
+import json
 import os
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -19,24 +21,16 @@
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 BACKENDS = 3
-FAULTY_BACKENDS = 2
 SLOTS = 4
 QUEUE = 8
-CALLERS = 8
+CALLERS = 12
 CALM_S = 3.0
-# The page sets no bound; this is the longest dose of `garble`.
-FAULT_S = 5.5
-# Streams that have begun go on until the caller closes them.
-TAIL_S = 10.0
-DEADLINE_MS = 8000
-# `memory_mb` of the settings; the platform kills a process beyond it.
-MEMORY_MB = 430
-MEMORY_CHECK_S = 0.05
-RESTART_S = 0.5
-# LOST allows this many.
-ALLOWED = 3
-RECORD_BYTES = 16
-RECORDS_PER_WRITE = 500
+GRACE_S = 6.0
+# Requests that were sent no later than this after the signal may be cut.
+EXCUSED_S = 3.0
+LOSS_SLACK_S = 0.2
+DEADLINE_MS = 2000
+# Logarithm of 86 ms; with the spread the mean is 98 ms.
 WORK_LOG_MEAN = -2.45
 
 
@@ -45,132 +39,136 @@
     return min(random.lognormvariate(WORK_LOG_MEAN, 0.5), 0.54)
 
 
-class EndlessBackend(backend.Backend):
-    """Sends bodies without end, one record a chunk, while it is faulty."""
-
-    is_faulty = False
+class Resolver:
+    """Asks the directory, and keeps the last list while it gives none."""
+
+    def __init__(self, ip, record):
+        self.addresses = []
+        self._ip = ip
+        self._record = record
+        self._until = 0.0
+
+    async def resolve(self):
+        """Return the addresses of the last list that the directory gave."""
+        now = time.monotonic()
+        if now < self._until:
+            return self.addresses
+        self._until = now + 1.0
+        data = wire.encode(
+            f'GET /v1/resolve?name={deployment.HOST}'
+            '&region=norte&zone=bilbo HTTP/1.1',
+            {'Host': deployment.HOST},
+        )
+        reply = await wire.call(self._ip, 8225, data, 1.0)
+        if reply is not None and reply.status == 200:
+            answer = json.loads(reply.body)
+            self.addresses = answer['addrs']
+            self._until = now + min(answer['ttl_s'], 5.0)
+        self._record(
+            f'directory answered {reply.status if reply else "nothing"}, '
+            f'callers use {self.addresses}'
+        )
+        return self.addresses
 
-    async def _serve(self, reader, writer):
-        while (request := await wire.read(reader)) is not None:
-            if self.is_faulty:
-                await self._send_without_end(request, writer)
-            reply = await self._answer(request, reader)
-            if not reply:
-                return
-            writer.write(reply)
-            await writer.drain()
 
-    async def _send_without_end(self, request, writer):
-        id_ = request.headers['request-id']
-        self._record(f'{self.id} answers {id_} without end')
-        head = (
-            f'HTTP/1.1 200 .\r\nRequest-Id: {id_}\r\n'
-            f'Server-Stamp: {self.id}.0\r\nTransfer-Encoding: chunked\r\n\r\n'
-        )
-        writer.write(head.encode())
-        chunk = b'%x\r\n%s\r\n' % (RECORD_BYTES, b'x' * RECORD_BYTES)
-        while True:
-            writer.write(chunk * RECORDS_PER_WRITE)
-            await writer.drain()
-            await asyncio.sleep(0)
-
-
-async def call(ip, path, record, answers, end_at):
-    """Send requests on a kept connection until a time."""
-    one = caller.Caller(ip, record, answers)
-    while time.monotonic() < end_at:
-        reply = await one.send(path, DEADLINE_MS)
+async def call(instance, resolver, record, answers, times, end_at):
+    """Send requests until a time, or until the process has ended."""
+    one = caller.Caller(instance.ip, record, answers)
+    while time.monotonic() < end_at and instance.is_running:
+        await resolver.resolve()
+        started_at = time.monotonic()
+        reply = await one.send('/card/2f', DEADLINE_MS)
+        times[list(answers)[-1]] = started_at, time.monotonic()
         if reply is None or reply.status != 200:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
     one.close()
 
 
-async def watch_memory(instance, record, peaks):
-    """Kill the process beyond its memory, and start it again."""
-    while True:
-        peaks.append(instance.memory_mb)
-        if peaks[-1] > MEMORY_MB:
-            record(f'the platform kills the process, {peaks[-1]} MB')
-            instance.end()
-            await asyncio.sleep(RESTART_S)
-            instance.start()
-        await asyncio.sleep(MEMORY_CHECK_S)
-
-
 async def run():
     """Play the case and return the exit status."""
     record = deployment.Record(FOLDER / 'record.txt')
     store = stores.Store()
     address = await store.start('127.0.0.1')
-    backends = {'sound': [], 'faulty': []}
-    for service, members in backends.items():
-        for n in range(BACKENDS):
-            one = EndlessBackend(
-                f'{service}{n}',
-                service,
-                store,
-                record,
-                [],
-                SLOTS,
-                QUEUE,
-                choose_work_s,
-            )
-            await one.start('127.0.0.1')
-            members.append(one)
-    routes = [
-        {'name': name, 'prefix': f'/{name}/', 'service': name}
-        for name in backends
-    ]
-    services = [{'name': name} for name in backends]
+    runs, answers, times, backends = [], {}, {}, []
+    for n in range(BACKENDS):
+        one = backend.Backend(
+            f'b{n}', 'desk', store, record, runs, SLOTS, QUEUE, choose_work_s
+        )
+        await one.start('127.0.0.1')
+        backends.append(one)
+    route = {
+        'name': 'card',
+        'prefix': '/card/',
+        'service': 'desk',
+        'timeout_ms': DEADLINE_MS,
+        'goal_ms': 426,
+    }
     store.put_json(
-        'op/config', deployment.make_configuration(1, routes, services)
+        'op/config',
+        deployment.make_configuration(1, [route], [{'name': 'desk'}]),
     )
-    answers = {name: {} for name in backends}
-    peaks = []
     with deployment.start(1, address) as (instance,):
         await instance.wait_until_ready()
-        watcher = asyncio.create_task(watch_memory(instance, record, peaks))
-        end_at = time.monotonic() + CALM_S + FAULT_S + TAIL_S
+        resolver = Resolver(instance.ip, record)
+        start_at = time.monotonic()
         tasks = [
             asyncio.create_task(
-                call(instance.ip, f'/{name}/2f', record, answers[name], end_at)
+                call(
+                    instance,
+                    resolver,
+                    record,
+                    answers,
+                    times,
+                    start_at + CALM_S + GRACE_S,
+                )
             )
-            for name in backends
             for _ in range(CALLERS)
         ]
         await asyncio.sleep(CALM_S)
-        for one in backends['faulty'][:FAULTY_BACKENDS]:
-            one.is_faulty = HAS_TROUBLE
-        await asyncio.sleep(FAULT_S)
-        for one in backends['faulty']:
-            one.is_faulty = False
+        signalled_at = time.monotonic()
+        if HAS_TROUBLE:
+            record('SIGTERM')
+            instance.send(signal.SIGTERM)
+        while time.monotonic() < signalled_at + GRACE_S:
+            if not instance.is_running:
+                seconds = time.monotonic() - signalled_at
+                record(f'the process ended {seconds:.3f} s after the signal')
+                break
+            await asyncio.sleep(0.01)
+        if instance.is_running and HAS_TROUBLE:
+            record('SIGKILL')
+            instance.send(signal.SIGKILL)
         await asyncio.gather(*tasks)
-        watcher.cancel()
-    arrived = {id_ for one in backends['sound'] for _, id_ in one.arrivals}
-    return check(record, arrived, answers, peaks)
+    arrived = {id_ for one in backends for _, id_ in one.arrivals}
+    return check(record, arrived, answers, times, signalled_at)
+
 
+def check(record, arrived, answers, times, signalled_at):
+    """Check LOST; return the exit status.
 
-def check(record, arrived, answers, peaks):
-    """Check LOST for the sound service; return the exit status."""
+    :param arrived: ids of the requests that were passed on to a backend.
+    :param times: when each request was sent, and when its answer or the end
+        of its connection came.
+    """
     lost = [
         id_
-        for id_, status in answers['sound'].items()
-        if status is None and id_ in arrived
+        for id_, status in answers.items()
+        if status is None
+        and (id_ in arrived or times[id_][1] - times[id_][0] > LOSS_SLACK_S)
     ]
-    kills = sum(peak > MEMORY_MB for peak in peaks)
-    for id_ in lost:
-        record(f'LOST: {id_}')
-    statuses = {
-        name: dict(collections.Counter(a.values()))
-        for name, a in answers.items()
-    }
+    late = [id_ for id_ in lost if times[id_][0] > signalled_at + EXCUSED_S]
+    for id_ in late:
+        after_s = times[id_][0] - signalled_at
+        record(f'LOST: {id_}, sent {after_s:.3f} s after the signal')
+    statuses = collections.Counter(answers.values())
     text = (
-        f'answers {statuses}, peak {max(peaks)} MB, {kills} kills, '
-        f'LOST {len(lost)} at sound backends'
+        f'{len(answers)} requests, answers {dict(statuses)}, '
+        f'cut {len(lost)}, '
+        f'of these LOST {len(late)}'
     )
     record(text)
     print(text)
-    return 1 if len(lost) > ALLOWED else 0
+    return 1 if late else 0
 
 
 def main():
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 import urllib.parse
@@ -17,11 +18,14 @@
 
     While ``is_silent`` holds, a call gets no answer, then or later, and
     neither does any other call on its connection. Calls that wait when the
-    silence begins get none either.
+    silence begins get none either. While ``is_busy`` holds, calls are answered
+    503. ``era`` rises by one when the store is restored from a copy.
     """
 
     def __init__(self):
         self.is_silent = False
+        self.is_busy = False
+        self.era = 1
         self.calls = 0
         self._revision = 1
         self._items = {}
@@ -42,6 +46,18 @@
         self.is_silent = is_silent
         self._silences += is_silent
 
+    def make_copy(self):
+        """Return a copy of the keys and leases for ``restore``."""
+        return copy.deepcopy((self._revision, self._items, self._leases))
+
+    def restore(self, older):
+        """Go back to a copy; revisions are given out again from there."""
+        self._revision, self._items, self._leases = copy.deepcopy(older)
+        self._events = [e for e in self._events if e['rev'] <= self._revision]
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def put(self, key, value, lease=0):
         """Write a key, and return the revision."""
         self._revision += 1
@@ -97,13 +113,16 @@
             if self.is_silent or silences != self._silences:
                 await reader.read()
                 return
-            headers = {'Content-Type': 'application/json', 'Store-Era': '1'}
+            headers = {
+                'Content-Type': 'application/json',
+                'Store-Era': self.era,
+            }
             data = json.dumps(body).encode()
             writer.write(wire.encode(f'HTTP/1.1 {status} .', headers, data))
             await writer.drain()
 
     async def _answer(self, request):
-        if self.is_silent:
+        if self.is_silent or self.is_busy:
             return 503, {}
         path, _, query = request.start[1].partition('?')
         fields = dict(urllib.parse.parse_qsl(query, True))
@@ -149,12 +168,15 @@
         if after > self._revision:
             return 410, {}
         end_at = time.monotonic() + int(fields['wait_ms']) / 1000
+        era = self.era
         while self._revision <= after and time.monotonic() < end_at:
             try:
                 async with asyncio.timeout(end_at - time.monotonic()):
                     await self._changed.wait()
             except TimeoutError:
                 break
+            if self.era != era and after > self._revision:
+                return 410, {}
         events = [
             event
             for event in self._events
