Close the connection of a call that is cancelled without a reply

Cause: a call closed its connection only when its own timeout ended. A watch has none and is ended by the scope around it, so its connection stayed in the pool with an exchange that nothing ends. Four of them use up the pool; the logs end with "all connections are in use" for each call.

Why this works: the connection is closed however a call ends without a reply, so no exchange outlives its call. The new metric store_connections shows how many are open.

--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -68,8 +68,11 @@
     """The calls to the store that instances make.
 
     All raise StoreUnavailableError if no valid answer arrives in time.
+    ``connection_count`` is the number of open connections to the store.
     """
 
+    connection_count: int
+
     async def read_page(self, after: str) -> Page:
         """Return the first items whose keys sort after a key."""
 
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -358,6 +358,7 @@
         gauge('store_connected', int(self._follower.is_connected))
         gauge('store_revision', self._mirror.revision.number)
         gauge('store_era', self._mirror.revision.era)
+        gauge('store_connections', self._store.connection_count)
         gauge('instances', self._count_instances())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -50,6 +50,11 @@
         self._client = client.Client(address, nursery)
         self._era = 0
 
+    @property
+    def connection_count(self):
+        """Number of open connections to the store."""
+        return self._client.connection_count
+
     async def read_page(self, after):
         """Return the first items whose keys sort after a key."""
         query = {'prefix': ''}
--- a/savorycross/wire/client.py
+++ b/savorycross/wire/client.py
@@ -45,6 +45,11 @@
         self._pool.limit = MAX_CONNECTIONS
         self._host = b'%s:%d' % (address[0].encode(), address[1])
 
+    @property
+    def connection_count(self):
+        """Number of open connections."""
+        return self._pool.size
+
     async def call(self, method, target, body=b'', timeout_s=1.0, headers=()):
         """Send a request and return its Reply.
 
@@ -59,14 +64,18 @@
         connection = self._pool.send(call)
         if connection is None:
             raise errors.ConnectionLostError('all connections are in use')
-        with trio.move_on_after(timeout_s):
-            await call.done.wait()
+        try:
+            with trio.move_on_after(timeout_s):
+                await call.done.wait()
+        finally:
+            # The caller may be cancelled before its own timeout ends.
+            if not call.done.is_set():
+                connection.close()
         if call.reply is not None:
             return call.reply
-        if not call.done.is_set():
-            connection.close()
-            raise errors.ConnectionLostError(f'no reply in {timeout_s} s')
-        raise errors.ConnectionLostError(call.reason)
+        raise errors.ConnectionLostError(
+            call.reason or f'no reply in {timeout_s} s'
+        )
 
     def close(self):
         """Close idle connections; busy ones finish their exchange."""
