Send a call again only on connections that it has not used

Cause: a target that refused a call may get it again, and the pool hands out the connection that carried the refusal. Replies are told apart by the id of the call, which is the same for both sends, so a late second copy of the refusal was taken for the reply to the second send, which the target had queued and ran.

Why this works: a copy can only arrive on the connection of its first send, and no later send of the same call waits for a reply there. On any other call's exchange the id tells it apart, as before.

--- a/savorycross/forward/attempt.py
+++ b/savorycross/forward/attempt.py
@@ -47,13 +47,14 @@
         self.is_pruned = False
         self.connection = None
 
-    def send(self, max_idle_s=None):
+    def send(self, max_idle_s=None, avoided=()):
         """Send the request on a connection of the target's pool.
 
         :param max_idle_s: see ``wire.pool.Pool.send``.
+        :param avoided: see ``wire.pool.Pool.send``.
         :returns: whether a connection was available.
         """
-        self.connection = self.state.pool.send(self, max_idle_s)
+        self.connection = self.state.pool.send(self, max_idle_s, avoided)
         return self.connection is not None
 
     @property
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -62,6 +62,7 @@
     """
 
     __slots__ = (
+        '_attempts',
         '_batcher',
         '_engine',
         '_count_needed',
@@ -120,6 +121,7 @@
         self._is_closed = False
         self._lacks_budget = False
         self._batcher = batcher
+        self._attempts = []
         self._in_flight = set()
         self._timer = None
 
@@ -442,11 +444,14 @@
             max_idle_s = (
                 None if self.route.is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S
             )
-            if not attempt.send(max_idle_s):
+            # A copy of the reply to an earlier send has the same id.
+            avoided = [a.connection for a in self._attempts]
+            if not attempt.send(max_idle_s, avoided):
                 return False
         state.add_outstanding(attempt, now, self._route_latency.typical_s)
         kind = _send_kind(is_extra, is_hedge)
         attempt.is_paid = engine.record_send(state, kind, now)
+        self._attempts.append(attempt)
         self._in_flight.add(attempt)
         self.tried.add(state.target.id)
         self.sends += 1
--- a/savorycross/wire/pool.py
+++ b/savorycross/wire/pool.py
@@ -36,15 +36,16 @@
         """Whether an exchange can be sent now."""
         return bool(self._idle) or len(self._connections) < self.limit
 
-    def send(self, exchange, max_idle_s=None):
+    def send(self, exchange, max_idle_s=None, avoided=()):
         """Send an exchange.
 
         :param exchange: an outbound.Exchange.
         :param max_idle_s: seconds of idle time beyond which a connection
             is not reused; None for no such bound.
+        :param avoided: connections that are not reused for it.
         :returns: the exchange's connection, or None if the pool is full.
         """
-        conn = self._pop_idle(max_idle_s)
+        conn = self._pop_idle(max_idle_s, avoided)
         if conn is None:
             if len(self._connections) >= self.limit:
                 return None
@@ -71,24 +72,24 @@
         for conn in idle:
             conn.close()
 
-    def _pop_idle(self, max_idle_s):
+    def _pop_idle(self, max_idle_s, avoided):
+        """Return the connection that became idle last and may be reused.
+
+        If there is none, make room for a new one and return None.
+        """
         now = trio.current_time()
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.idle_until <= now:
-                conn.close()
-                self._connections.discard(conn)
-                continue
-            if max_idle_s is None or now - conn.idle_since <= max_idle_s:
+        for conn in reversed(self._idle):
+            if max_idle_s is not None and now - conn.idle_since > max_idle_s:
+                break
+            if conn.idle_until > now and conn not in avoided:
+                self._idle.remove(conn)
                 return conn
-            self._idle.append(conn)
-            self._evict_if_full()
-            return None
+        self._evict_if_full()
         return None
 
     def _evict_if_full(self):
         """Close the oldest idle connection if the pool is full."""
-        if len(self._connections) >= self.limit:
+        if self._idle and len(self._connections) >= self.limit:
             oldest = self._idle.pop(0)
             oldest.close()
             self._connections.discard(oldest)
--- a/standins/fleet/instance.py
+++ b/standins/fleet/instance.py
@@ -138,7 +138,7 @@
         super().__init__(target, scheduler)
         self._instance = instance
 
-    def send(self, exchange, max_idle_s=None):
+    def send(self, exchange, max_idle_s=None, avoided=()):
         """Send an exchange; see ``ModelPool.send``."""
         self._instance.count_send()
         return super().send(exchange, max_idle_s)
--- a/standins/fleet/pool.py
+++ b/standins/fleet/pool.py
@@ -30,7 +30,7 @@
         """Whether an exchange can be sent now."""
         return bool(self._idle_since) or len(self._busy) < self.limit
 
-    def send(self, exchange, max_idle_s=None):
+    def send(self, exchange, max_idle_s=None, avoided=()):
         """Send an exchange; return its connection, or None if full."""
         if not self.has_room:
             return None
--- a/tests/forward/fake_engine.py
+++ b/tests/forward/fake_engine.py
@@ -43,7 +43,7 @@
         self.sent = []
         self.has_room = True
 
-    def send(self, exchange, max_idle_s=None):
+    def send(self, exchange, max_idle_s=None, avoided=()):
         """Record an exchange and return its connection."""
         self.sent.append(exchange)
         self._sends.append(exchange)
