Take values that are nested too deep for invalid, like others

Cause: decoding such a value raises RecursionError, where readers expect ValueError. In the first listing of a new era the mirror compares values of two eras; the error ended the follower's listing each time it began.

Why this works: one function decodes what other processes write, and turns the error into the ValueError that all readers handle. The mirror guards each comparison besides, so that one key cannot end a listing.

Related: a target whose entry became unreadable in this way stayed in use; deep heartbeats, batches, copies, pages and settings ended the task that read them. Each has a test.

--- a/savorycross/booking/coordinator.py
+++ b/savorycross/booking/coordinator.py
@@ -9,6 +9,7 @@
 
 from savorycross.booking import ledger as ledgers
 from savorycross.booking import ticket as tickets
+from savorycross import decoding
 from savorycross import errors
 from savorycross.peer import messages
 from savorycross.relay import job as jobs
@@ -26,6 +27,7 @@
     str(jobs.Cause.NO_REPLICA),
     str(jobs.Cause.OWNER_LOST),
 )
+_result_decoder = msgspec.json.Decoder()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -417,7 +419,7 @@
 def encode_result(body):
     """Return a target's answer as raw JSON; null if it is not valid JSON."""
     try:
-        msgspec.json.decode(body)
+        decoding.decode(_result_decoder, body)
     except ValueError:
         return msgspec.Raw(b'null')
     return msgspec.Raw(body)
--- a/savorycross/catalogue/catalogue.py
+++ b/savorycross/catalogue/catalogue.py
@@ -10,6 +10,7 @@
 from savorycross.catalogue import state
 from savorycross.catalogue import target
 from savorycross.catalogue import workload
+from savorycross import decoding
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,4 +120,4 @@
 
     :raises ValueError: if the bytes do not encode a catalogue.
     """
-    return _decoder.decode(data)
+    return decoding.decode(_decoder, data)
--- a/savorycross/delegate/protocol.py
+++ b/savorycross/delegate/protocol.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.wire import versioned
 
 # Version of the message format; other versions are refused.
@@ -117,4 +118,4 @@
 
     :raises ValueError: if the bytes encode none.
     """
-    return _results_decoder.decode(data)
+    return decoding.decode(_results_decoder, data)
--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -75,9 +75,7 @@
         it. The revision stays the known one.
         """
         known = self.items.get(item.key)
-        if known is None or not self._is_older(
-            item.key, known.value, item.value
-        ):
+        if known is None or not self._is_written_before(known, item):
             return
         self.items[item.key] = dataclasses.replace(known, value=item.value)
         self._notify(item.key, self.items[item.key])
@@ -102,7 +100,7 @@
         if (
             known is not None
             and known.revision.era < item.revision.era
-            and self._is_older(key, item.value, known.value)
+            and self._is_written_before(item, known)
         ):
             item = dataclasses.replace(item, value=known.value)
         self._held_removals.pop(key, None)
@@ -111,6 +109,15 @@
         if known is None or known.value != item.value:
             self._notify(key, item)
 
+    def _is_written_before(self, item, other):
+        """Return whether the writer of a key wrote an item before another."""
+        try:
+            return self._is_older(item.key, item.value, other.value)
+        except Exception as exc:
+            # Values that cannot be compared must not hide other changes.
+            failure.report(f'order of values of {item.key[:80]}', exc)
+            return False
+
     def retain(self, keys, revision, now):
         """Remove all items but those of the keys of a complete listing.
 
--- a/savorycross/entry/request.py
+++ b/savorycross/entry/request.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from savorycross.catalogue import workload as workloads
+from savorycross import decoding
 from savorycross import errors
 from savorycross.merge import coverage as coverages
 from savorycross.merge import merger
@@ -161,7 +162,7 @@
         raise errors.BodyTooLargeError(f'body has {len(body)} bytes')
 
     try:
-        return decoder.decode(body)
+        return decoding.decode(decoder, body)
     except ValueError as exc:
         raise errors.BadRequestError(f'invalid body: {exc}') from exc
 
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from savorycross import decoding
 from savorycross.wire import versioned
 
 _Load = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
@@ -92,6 +93,7 @@
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
+_peer_decoder = msgspec.msgpack.Decoder(Peer)
 
 
 def encode(heartbeat):
@@ -117,4 +119,4 @@
 
     :raises ValueError: if the bytes encode none.
     """
-    return msgspec.msgpack.decode(data, type=Peer)
+    return decoding.decode(_peer_decoder, data)
--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from savorycross import decoding
 from savorycross.discovery import item as items
 from savorycross import errors
 from savorycross.wire import client
@@ -39,6 +40,9 @@
     hold_ms: int = 0
 
 
+_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
 def make_snapshot(mirror, after, now):
     """Return the Snapshot of a mirror for a peer.
 
@@ -218,7 +222,7 @@
             reply = await peer_client.call(
                 b'GET', path, timeout_s=REQUEST_TIMEOUT_S
             )
-            return msgspec.msgpack.decode(reply.body, type=Snapshot)
+            return decoding.decode(_snapshot_decoder, reply.body)
         except (errors.ConnectionLostError, ValueError) as exc:
             self._log.event(
                 'mirror.not_copied', peer=peer.name, reason=str(exc)
--- a/savorycross/membership/view.py
+++ b/savorycross/membership/view.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.membership import member
 
 VIEW_KEY = 'savorycross/view'
@@ -65,4 +66,4 @@
 
     :raises ValueError: if the bytes are no view.
     """
-    return _decoder.decode(data) if data else EMPTY_VIEW
+    return decoding.decode(_decoder, data) if data else EMPTY_VIEW
--- a/savorycross/merge/merger.py
+++ b/savorycross/merge/merger.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.merge import coverage
 
 
@@ -63,7 +64,7 @@
         if shard not in self._open_shards:
             return True
         try:
-            records = _decoder.decode(body)
+            records = decoding.decode(_decoder, body)
         except ValueError:
             return False
         for record in records:
--- a/savorycross/platform/configuration.py
+++ b/savorycross/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross import errors
 from savorycross.route import configuration
 from savorycross.route import route
@@ -64,7 +65,7 @@
     :raises ConfigurationInvalidError: if it is invalid; names the field.
     """
     try:
-        document = _decoder.decode(data)
+        document = decoding.decode(_decoder, data)
     except ValueError as exc:
         raise errors.ConfigurationInvalidError(str(exc)) from exc
     limits = document.limits
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.discovery import target
 from savorycross import host_port
 
@@ -65,7 +66,7 @@
     :param value: bytes of the entry, in JSON.
     :raises ValueError: if the entry is invalid.
     """
-    entry = _decoder.decode(value)
+    entry = decoding.decode(_decoder, value)
     if entry.state not in _STATES:
         raise ValueError(f'state {entry.state!r}')
     address = host_port.split(entry.addr)
@@ -91,16 +92,20 @@
     """
     try:
         if key == CONFIGURATION:
-            decode = _version_decoder.decode
-            return decode(value).version < decode(other).version
+            first, second = _decode_both(_version_decoder, value, other)
+            return first.version < second.version
         if is_target(key):
-            first, second = _decoder.decode(value), _decoder.decode(other)
+            first, second = _decode_both(_decoder, value, other)
             return first.born == second.born and first.seq < second.seq
     except ValueError:
         return False
     return False
 
 
+def _decode_both(decoder, value, other):
+    return decoding.decode(decoder, value), decoding.decode(decoder, other)
+
+
 def target_id(key):
     """Return the id of the target whose entry a key holds."""
     return key.removeprefix(_TARGET_PREFIX)
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -65,7 +65,7 @@
     try:
         with open(path, 'rb') as file:
             document = msgspec.convert(tomllib.load(file), _Settings)
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         # The errors of tomllib and msgspec are subclasses of ValueError.
         raise errors.SettingsError(f'{path}: {exc}') from exc
     return _to_instance_settings(document, metrics_port)
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.discovery import item
 from savorycross import errors
 from savorycross.wire import client
@@ -39,6 +40,11 @@
     lease: int
 
 
+_range_decoder = msgspec.json.Decoder(_Range)
+_watch_decoder = msgspec.json.Decoder(_Watch)
+_lease_decoder = msgspec.json.Decoder(_Lease)
+
+
 class PlatformStore:
     """Implements ``discovery.item.ItemStore`` over HTTP.
 
@@ -61,7 +67,7 @@
         if after:
             query['after'] = after
         reply = await self._call(b'GET', '/v1/kv-range', query)
-        page = _decode(reply, _Range)
+        page = _decode(reply, _range_decoder)
         era = self._read_era(reply)
         return item.Page(
             _to_items(page.items, era),
@@ -81,7 +87,7 @@
         )
         if reply.status == 410:
             raise errors.HistoryGoneError(f'revision {revision}')
-        changes = _decode(reply, _Watch)
+        changes = _decode(reply, _watch_decoder)
         era = self._read_era(reply)
         return item.Page(
             _to_items(changes.events, era),
@@ -92,7 +98,7 @@
         """Return a new Lease that ends after ``ttl_s`` seconds."""
         body = {'ttl_ms': int(ttl_s * 1000)}
         reply = await self._call(b'POST', '/v1/kv-lease', body=body)
-        id_ = _decode(reply, _Lease).lease
+        id_ = _decode(reply, _lease_decoder).lease
         return item.Lease(id_, self._read_era(reply))
 
     async def renew_lease(self, lease):
@@ -174,14 +180,14 @@
         return text.encode()
 
 
-def _decode(reply, type_):
-    """Return the message of a type in a successful reply.
+def _decode(reply, decoder):
+    """Return the message in a successful reply.
 
     :raises StoreUnavailableError: if the reply is none.
     """
     if reply.status != 200:
         raise errors.StoreUnavailableError(f'status {reply.status}')
     try:
-        return msgspec.json.decode(reply.body, type=type_)
+        return decoding.decode(decoder, reply.body)
     except ValueError as exc:
         raise errors.StoreUnavailableError(f'invalid reply: {exc}') from exc
--- a/savorycross/sheet/publish.py
+++ b/savorycross/sheet/publish.py
@@ -13,6 +13,7 @@
 
 from savorycross.catalogue import catalogue
 from savorycross.catalogue import keeper
+from savorycross import decoding
 from savorycross import errors
 from savorycross.sheet import diff
 
@@ -42,6 +43,9 @@
     writes: tuple[str, ...] = ()
 
 
+_manifest_decoder = msgspec.json.Decoder(Manifest)
+
+
 @dataclasses.dataclass(frozen=True)
 class Accepted:
     """The result of publishing a sheet.
@@ -71,7 +75,7 @@
     entry = await store.get(MANIFEST_KEY)
     if not entry.revision:
         return Manifest(), 0
-    return msgspec.json.decode(entry.value, type=Manifest), entry.revision
+    return decoding.decode(_manifest_decoder, entry.value), entry.revision
 
 
 async def read_catalogue(store, manifest):
--- a/savorycross/store/http.py
+++ b/savorycross/store/http.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from savorycross import decoding
 from savorycross import errors
 from savorycross.store import protocol
 
@@ -23,6 +24,10 @@
     targets_leaving: list[str] = []
 
 
+_entry_decoder = msgspec.json.Decoder(_EntryBody)
+_listing_decoder = msgspec.json.Decoder(_ListingBody)
+
+
 class HttpStore:
     """A client with the interface protocol.Store, over HTTP.
 
@@ -83,7 +88,7 @@
             raise errors.StoreUnavailableError(
                 f'list of instances: HTTP status {status}'
             )
-        return msgspec.json.decode(body, type=_ListingBody)
+        return decoding.decode(_listing_decoder, body)
 
     def _format_key_path(self, key):
         return '/v1/kv/' + urllib.parse.quote(key, safe='')
@@ -95,7 +100,7 @@
             raise errors.StoreUnavailableError(
                 f'key-value service: HTTP status {status}'
             )
-        entry = msgspec.json.decode(body, type=_EntryBody)
+        entry = decoding.decode(_entry_decoder, body)
         value = base64.b64decode(entry.value)
         return protocol.Entry(value=value, revision=entry.revision)
 
--- a/savorycross/target/messages.py
+++ b/savorycross/target/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross.plan import inventory
 from savorycross.rate import statement
 from savorycross.relay import job
@@ -60,7 +61,7 @@
     :param stamp: hybrid clock stamp of the observation.
     :raises ValueError: if the body is not a valid inventory.
     """
-    body = _inventory_decoder.decode(data)
+    body = decoding.decode(_inventory_decoder, data)
     holdings = tuple(
         inventory.Holding(
             inventory.Snapshot(h.version, h.epoch), h.total, h.shards
--- a/savorycross/wire/versioned.py
+++ b/savorycross/wire/versioned.py
@@ -1,5 +1,7 @@
 """Decoding of messages that carry the version of their format."""
 
+from savorycross import decoding
+
 
 def decode(decoder, data, expected_format):
     """Return the message in bytes.
@@ -10,7 +12,7 @@
     :raises ValueError: if the bytes are not a valid message, or have
         another format version.
     """
-    message = decoder.decode(data)
+    message = decoding.decode(decoder, data)
     if message.format != expected_format:
         raise ValueError(f'unsupported format version {message.format}')
     return message
--- a/tests/discovery/test_mirror.py
+++ b/tests/discovery/test_mirror.py
@@ -177,3 +177,16 @@
     _restore(tested, ('other', b'x'), now=15.0)
     tested.apply_held_changes(100.0)
     assert changes == [('other', b'x')]
+
+
+def test_values_that_cannot_be_compared_hide_no_other_change():
+    changes = Changes()
+
+    def is_older(key, value, other):
+        raise RuntimeError(key)
+
+    tested = mirror.Mirror(changes, is_older)
+    tested.apply(item.Item('a', fakes.at(5), b'x'), 0.0)
+    tested.apply(item.Item('a', fakes.at(1, era=2), b'y'), 0.0)
+    tested.take_newer_value(item.Item('a', fakes.at(1, era=2), b'z'))
+    assert changes == [('a', b'x'), ('a', b'y')]
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+from savorycross import decoding
 from savorycross.delegate import protocol
 from savorycross.discovery import item
 from savorycross import errors
@@ -72,11 +73,11 @@
 
 
 def _decode_snapshot(data):
-    return msgspec.msgpack.decode(data, type=mirror_sync.Snapshot)
+    return decoding.decode(mirror_sync._snapshot_decoder, data)
 
 
 def _decode_page(data):
-    page = store._decode(messages.Reply(200, (), data), store._Range)
+    page = store._decode(messages.Reply(200, (), data), store._range_decoder)
     return store._to_items(page.items, 1)
 
 
@@ -94,6 +95,15 @@
     'page': (_decode_page, PAGE),
 }
 ALLOWED = (ValueError, errors.SavorycrossError)
+DEPTH = 20_000
+
+
+def _nest(data):
+    """Return a valid message with a further value that is nested deep."""
+    if data.startswith(b'{'):
+        return b'{"further":' + b'[' * DEPTH + b']' * DEPTH + b',' + data[1:]
+    # The first byte of a short array in MessagePack holds its length.
+    return bytes((data[0] + 1,)) + data[1:] + b'\x91' * DEPTH + b'\xc0'
 
 
 @pytest.mark.parametrize('name', DECODERS)
@@ -119,6 +129,21 @@
             pass
 
 
+# Guards against an entry of the store that ended each listing of it.
+@pytest.mark.parametrize('name', DECODERS)
+def test_deep_message_raises_only_what_readers_expect(name):
+    decode, valid = DECODERS[name]
+    with pytest.raises(ALLOWED):
+        decode(_nest(valid))
+
+
+def test_deep_settings_are_reported(tmp_path):
+    path = tmp_path / 'settings.toml'
+    path.write_text('node = ' + '[' * DEPTH)
+    with pytest.raises(errors.SettingsError):
+        platform_settings.read_settings(9464, str(path))
+
+
 @pytest.mark.parametrize(
     'port', [0, -1, 65536, 2**40], ids=['zero', 'negative', 'large', 'huge']
 )
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -18,6 +18,9 @@
     'seq': 4,
 }
 
+# An entry that breaks off within nested lists.
+DEEP = b'{"further":' + b'[' * 5000
+
 
 def _entry(**fields):
     return json.dumps({**ENTRY, **fields}).encode()
@@ -57,7 +60,7 @@
         _decode(**fields)
 
 
-@pytest.mark.parametrize('data', [b'', b'\xff\xfe', b'{}', b'[1]'])
+@pytest.mark.parametrize('data', [b'', b'\xff\xfe', b'{}', b'[1]', DEEP])
 def test_malformed_entry_is_an_error(data):
     with pytest.raises(ValueError):
         keys.decode_target('servers/i-1', data)
@@ -73,6 +76,9 @@
         ('servers/i', _entry(seq=4, born=7), _entry(seq=3, born=7), False),
         ('servers/i', _entry(seq=1, born=9), _entry(seq=4, born=7), False),
         ('servers/i', b'no entry', _entry(seq=4, born=7), False),
+        ('servers/i', DEEP, _entry(seq=4, born=7), False),
+        ('servers/i', DEEP, DEEP, False),
+        ('op/config', DEEP, b'{"version":10}', False),
         ('op/evacuate/z', b'{}', b'{ }', False),
     ],
 )
