Answer or refuse each request that a stopping instance reads

Cause: a stopping instance forwarded whatever came, whatever time was left, and cancelled all tasks at the end of the grace time. In the users' record the sends of one instance to several targets end as "closed" in one millisecond, followed by request.lost, which is what this cancellation logs.

Why this works: requests that probably outlast the instance are refused before any target has them, which is true and early; deadlines end with the instance; what is in progress at the end is answered with what is known, and replies get 0.2 s to leave. Requests that wait behind another on their connection when the stop begins are answered too.

Found on the way: a request behind one that was answered at once could not be cancelled by its caller's disconnect, as the older request took its place.

Tests that fail without the fix: tests/processes/test_platform.py (two real processes, three requests cut), tests/gateway/test_gateway.py (5), tests/wire/test_server.py (3).

--- a/savorycross/delegate/batch_handler.py
+++ b/savorycross/delegate/batch_handler.py
@@ -77,7 +77,7 @@
         call_at = self._engine.timers.call_at
         self._timers = (
             call_at(self._received_at + batch.flush_ms / 1000, self._flush),
-            call_at(end_at, self._expire),
+            call_at(end_at, self.expire),
         )
         for number, id_ in enumerate(batch.targets):
             self._send(number, id_)
@@ -211,7 +211,7 @@
                 timer.cancel()
         self._respond(messages.ReplyChunk(body, self._is_finished))
 
-    def _expire(self):
+    def expire(self):
         """Abandon the sends without a reply and flush."""
         now = self._engine.now()
         for attempt, number in self._pending.items():
--- a/savorycross/forward/route_latency.py
+++ b/savorycross/forward/route_latency.py
@@ -18,6 +18,9 @@
 HEDGE_DELAY_REFRESH_S = 0.5
 # Latency assumed without samples, as a share of the latency objective.
 INITIAL_TYPICAL_SHARE = 0.2
+# An answer that takes longer than this multiple of the percentile is rare.
+LONGEST_PERCENTILE = 99.0
+LONGEST_MULTIPLE = 1.5
 
 
 class RouteLatency:
@@ -72,6 +75,16 @@
                 self._delay_s = min(max(delay_s, low_s), high_s)
         return self._delay_s
 
+    def expect_longest_s(self):
+        """Return the seconds in which nearly all answers arrive.
+
+        It is the objective while too few answers are known.
+        """
+        percentile_s = self._window.percentile_s(LONGEST_PERCENTILE)
+        if percentile_s is None:
+            return self._objective_s
+        return LONGEST_MULTIPLE * percentile_s
+
     def estimate_elapsed_s(self, caller_timeout_s):
         """Return the estimated seconds since the first try of a request.
 
--- a/savorycross/forward/scatter_gather.py
+++ b/savorycross/forward/scatter_gather.py
@@ -69,7 +69,7 @@
         answer_at = self._objective_at - route_latency.ANSWER_MARGIN_S
         self._timers = (
             call_at(answer_at, self._answer_if_enough),
-            call_at(self._end_at, self._time_out),
+            call_at(self._end_at, self.expire),
         )
         now = self._engine.now()
         outlooks = [
@@ -145,6 +145,16 @@
         for fetch in self._fetches:
             fetch.cancel()
 
+    def expire(self):
+        """End the call with the parts that have arrived, if they suffice."""
+        if not self._is_over:
+            if self._has_enough:
+                self._answer('partial')
+            else:
+                self._fail(504, 'timeout')
+        for fetch in self._fetches:
+            fetch.expire()
+
     @property
     def detail(self):
         """Names and values that explain the outcome, for the log."""
@@ -193,15 +203,6 @@
         if not self._is_over and self._has_enough:
             self._answer('partial')
 
-    def _time_out(self):
-        if not self._is_over:
-            if self._has_enough:
-                self._answer('partial')
-            else:
-                self._fail(504, 'timeout')
-        for fetch in self._fetches:
-            fetch.expire()
-
     def _finish(self):
         if self._has_enough:
             is_complete = len(self._answered) == len(self._fetches)
--- a/savorycross/forward/single_call.py
+++ b/savorycross/forward/single_call.py
@@ -38,7 +38,7 @@
 
     def start(self):
         """Send the call to the service."""
-        self._timer = self._engine.timers.call_at(self._end_at, self._time_out)
+        self._timer = self._engine.timers.call_at(self._end_at, self.expire)
         self._fetch.start()
 
     def cancel(self):
@@ -47,6 +47,17 @@
         self._timer.cancel()
         self._fetch.cancel()
 
+    def expire(self):
+        """End the call, as no time is left."""
+        fetch = self._fetch
+        if not self._is_over:
+            if fetch.sends:
+                reply = self._engine.dialect.make_refusal(504)
+                self._end(reply, 'timeout')
+            else:
+                self._refuse()
+        fetch.expire()
+
     @property
     def detail(self):
         """Names and values that explain the outcome, for the log."""
@@ -58,16 +69,6 @@
             'targets': sorted(fetch.tried),
         }
 
-    def _time_out(self):
-        fetch = self._fetch
-        if not self._is_over:
-            if fetch.sends:
-                reply = self._engine.dialect.make_refusal(504)
-                self._end(reply, 'timeout')
-            else:
-                self._refuse()
-        fetch.expire()
-
     def _on_fetch_done(self, fetch):
         if self._is_over:
             return
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -1,5 +1,7 @@
 """Handles callers' requests according to the configuration in force."""
 
+import math
+
 from savorycross.forward import scatter_gather
 from savorycross.forward import single_call
 from savorycross.route import route as routes
@@ -18,13 +20,17 @@
 class Gateway:
     """Finds the route of each request and forwards the request by it.
 
-    ``configuration`` is the Configuration in force, or None.
+    ``configuration`` is the Configuration in force, or None. From ``end_at``
+    on, a runtime clock time, nothing is forwarded, as the instance ends;
+    requests that probably take longer are refused before.
 
     :param engine: Engine.
     """
 
     def __init__(self, engine):
         self.configuration = None
+        self.end_at = math.inf
+        self._return_at = 0.0
         self._engine = engine
         self._balancers = {}
 
@@ -37,6 +43,16 @@
         self._balancers = {}
         self._engine.target_registry.set_services(configuration.services)
 
+    def plan_end(self, end_at, return_at):
+        """Forward nothing that would still run at the end of the instance.
+
+        :param end_at: runtime clock time of that end in seconds.
+        :param return_at: runtime clock time from which on callers that are
+            refused find an instance.
+        """
+        self.end_at = end_at
+        self._return_at = return_at
+
     @property
     def version(self):
         """Version of the configuration in force, or 0."""
@@ -78,9 +94,13 @@
         if call.caller_timeout_s is not None:
             timeout_s = min(timeout_s, call.caller_timeout_s)
         end_at = call.received_at + timeout_s - FAILURE_REPLY_MARGIN_S
-        elapsed_s = engine.route_latency(route).estimate_elapsed_s(
-            call.caller_timeout_s
-        )
+        route_latency = engine.route_latency(route)
+        longest_s = min(timeout_s, route_latency.expect_longest_s())
+        if call.received_at + longest_s > self.end_at:
+            self._refuse_late(call, route, end_at, respond)
+            return None
+        end_at = min(end_at, self.end_at)
+        elapsed_s = route_latency.estimate_elapsed_s(call.caller_timeout_s)
 
         def end(reply, outcome):
             self._record_outcome(call, route, version, outcome, operation)
@@ -125,10 +145,21 @@
             after_s=round(seconds, 4),
         )
 
+    def _refuse_late(self, call, route, end_at, respond):
+        """Refuse a call that would still run at the end of the instance."""
+        self._record_refusal(call, 503, 'instance ends')
+        respond(
+            self._engine.make_refusal(call, route, self._return_at, end_at)
+        )
+
     def _refuse(self, call, respond, status, reason):
         retry_after_s = (
             NO_CONFIGURATION_RETRY_AFTER_S if status == 503 else None
         )
+        self._record_refusal(call, status, reason)
+        respond(self._engine.dialect.make_refusal(status, retry_after_s))
+
+    def _record_refusal(self, call, status, reason):
         self._engine.metrics.count('requests', outcome='refused', shape='none')
         self._engine.log.event(
             'request.refused',
@@ -139,4 +170,3 @@
             host=call.host,
             path=call.path,
         )
-        respond(self._engine.dialect.make_refusal(status, retry_after_s))
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -46,6 +46,8 @@
 # connections with a request in progress.
 STOP_MARGIN_S = 0.5
 STOP_CHECK_INTERVAL_S = 0.05
+# Time to send the last replies, within the margin.
+FLUSH_S = 0.2
 # Callers keep a directory answer up to this many times its time to live.
 DIRECTORY_TTL_FACTOR = 3.5
 
@@ -408,9 +410,13 @@
     async def _stop(self):
         """Leave the directory, then serve until callers no longer use it.
 
-        The wait ends with the grace period in any case.
+        The wait ends with the grace period in any case. What is in progress
+        then is answered as timed out; what would be is refused before.
         """
         started_at = trio.current_time()
+        end_at = started_at + self._settings.grace_s - STOP_MARGIN_S
+        has_others = bool(self._directory.serving_peers(started_at))
+        self._gateway.plan_end(end_at, started_at if has_others else end_at)
         self._is_stopping = True
         self._directory.is_ready = False
         for running_server in self._servers.values():
@@ -421,12 +427,24 @@
         directory_expired_at = (
             started_at + DIRECTORY_TTL_FACTOR * self._settings.directory_ttl_s
         )
-        end_at = started_at + self._settings.grace_s - STOP_MARGIN_S
         while (now := trio.current_time()) < end_at:
             if now >= directory_expired_at and not self._busy_connection_count:
                 break
             await trio.sleep(STOP_CHECK_INTERVAL_S)
-        self.log.event('instance.stopped', cut=self._caller_server.busy)
+        expired = self._busy_connection_count
+        await self._expire_requests()
+        self.log.event(
+            'instance.stopped', expired=expired, cut=self._caller_server.busy
+        )
+
+    async def _expire_requests(self):
+        """End the requests in progress, and wait until replies are sent."""
+        servers = (self._caller_server, self._peer_server)
+        for running_server in servers:
+            running_server.expire_requests()
+        with trio.move_on_after(FLUSH_S):
+            while any(s.has_pending for s in servers):
+                await trio.sleep(STOP_CHECK_INTERVAL_S)
 
 
 def _read_suspended_s():
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -49,6 +49,9 @@
     def cancel(self) -> None:
         """Stop handling the request; the caller has disconnected."""
 
+    def expire(self) -> None:
+        """Respond now, with what is known, as no more time is left."""
+
 
 class Handler(typing.Protocol):
     """A callable that handles requests."""
@@ -114,10 +117,23 @@
         finally:
             self._cancel_and_close()
 
+    @property
+    def has_pending(self):
+        """Whether a part of a reply is still to be sent."""
+        return self._transport.has_pending
+
     def close(self):
         """Close the connection."""
         self._transport.close()
 
+    def expire(self):
+        """Let the requests that were read be answered without delay."""
+        while self._running is not None:
+            request = self._current
+            self._running.expire()
+            if self._current is request:
+                break
+
     def check_timeout(self, now, limits):
         """Close the connection if a timeout of its caller has passed.
 
@@ -227,13 +243,18 @@
             return
         request = self._queue.popleft()
         self._current = request
-        self._running = self._server.handle(request, self._respond)
+        running = self._server.handle(request, self._respond)
+        # The response may have begun the next request already.
+        if self._current is request:
+            self._running = running
 
     def _respond(self, reply):
         request = self._current
         if request is None:
             return
-        keep_alive = request.keep_alive and not self._server.is_stopping
+        # Requests that were read already are answered even during a stop.
+        is_last = self._server.is_stopping and not self._queue
+        keep_alive = request.keep_alive and not is_last
         if isinstance(reply, messages.ReplyChunk):
             is_first = not self._is_streaming
             self._transport.write(
@@ -309,6 +330,16 @@
         """Number of connections that read or handle a request."""
         return sum(c.is_busy for c in self._connections)
 
+    @property
+    def has_pending(self):
+        """Whether parts of replies are still to be sent."""
+        return any(c.has_pending for c in self._connections)
+
+    def expire_requests(self):
+        """Let all requests that were read be answered without delay."""
+        for connection in list(self._connections):
+            connection.expire()
+
     def count_rejected(self, status):
         """Report a request that was rejected before it was handled."""
         if self._on_rejected is not None:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,5 +1,7 @@
 """Tests of the gateway with and without a configuration."""
 
+import pytest
+
 from savorycross.gateway import gateway
 from savorycross.route import configuration
 from savorycross.wire import messages
@@ -42,3 +44,69 @@
     current.handle(messages.Request(b'GET', b'/x', headers), lambda reply: 0)
     (fields,) = engine.log.fields('request.refused')
     assert (fields['status'], fields['version']) == (404, 1)
+
+
+def _handle(current, engine):
+    """Handle a request now; return the replies that it gets."""
+    replies = []
+    headers = (
+        (b'Host', b'h'),
+        (b'Request-Id', fake_engine.ID),
+        (b'Deadline-Ms', b'1000'),
+    )
+    request = messages.Request(
+        b'GET', b'/p/x', headers, b'', True, engine.time
+    )
+    current.handle(request, replies.append)
+    return replies
+
+
+# Guards against requests that were forwarded shortly before the end of a stop
+# and cut by it.
+@pytest.mark.parametrize('services', [('s0',), ('s0', 's1')])
+def test_request_that_would_outlast_the_instance_is_refused(services):
+    current, engine = make(*services)
+    for name in services:
+        engine.add_target(name, name)
+    objective_s = current.configuration.routes[0].objective_s
+    current.plan_end(engine.time + objective_s - 0.001, engine.time)
+    (reply,) = _handle(current, engine)
+    assert reply.status == 503
+    assert 0.0 < float(reply.header(b'retry-after')) < 0.1
+    assert not engine.sends
+
+
+def test_request_that_ends_before_the_instance_is_forwarded():
+    current, engine = make('s0')
+    engine.add_target('a', 's0')
+    objective_s = current.configuration.routes[0].objective_s
+    current.plan_end(engine.time + objective_s + 0.01, engine.time)
+    assert not _handle(current, engine)
+    (exchange,) = engine.sends
+    assert b'Deadline-Ms: 210\r\n' in exchange.data
+    engine.advance(objective_s + 0.02)
+    assert exchange.state.pool.sent == [exchange]
+
+
+def test_request_is_answered_as_timed_out_when_the_instance_ends():
+    current, engine = make('s0')
+    engine.add_target('a', 's0')
+    current.plan_end(engine.time + 0.3, engine.time)
+    replies = _handle(current, engine)
+    engine.advance(0.31)
+    assert [r.status for r in replies] == [504]
+
+
+def test_known_latency_tells_which_requests_outlast_the_instance():
+    current, engine = make('s0')
+    engine.add_target('a', 's0')
+    (route,) = current.configuration.routes
+    latency = engine.route_latency(route)
+    for _ in range(50):
+        latency.add(0.01, engine.time)
+    current.plan_end(engine.time + 0.05, engine.time)
+    assert not _handle(current, engine)
+    for _ in range(50):
+        latency.add(0.1, engine.time)
+    (reply,) = _handle(current, engine)
+    assert reply.status == 503
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,11 +1,13 @@
 """Instances on the platform's protocol as real processes."""
 
+import collections
 import functools
 import signal
 
 import pytest
 import trio
 
+from savorycross import errors
 from savorycross.events import request_trace
 from savorycross.wire import client
 from soak import process
@@ -251,3 +253,40 @@
     assert replies[0].header(b'connection') == b'close'
     with trio.fail_after(8):
         assert await two_instances.testbed.instances[0].wait() == 0
+
+
+# Guards against requests that a stopping instance passed on and then cut.
+async def test_stop_answers_whatever_it_has_passed_on(two_instances):
+    for backend in two_instances.backends('one'):
+        backend.work_s = 0.4
+    stopped = two_instances.testbed.instances[0]
+    ended = trio.Event()
+    statuses = collections.Counter()
+    lost = []
+
+    async def send_requests(name):
+        n = 0
+        while not ended.is_set():
+            n += 1
+            id_ = b'%d-%d' % (name, n)
+            try:
+                reply = await two_instances.call(b'/one/x', id_)
+            except errors.ConnectionLostError:
+                lost.append(id_.decode())
+                await trio.sleep(0.01)
+                continue
+            statuses[reply.status] += 1
+            if reply.status == 503:
+                await trio.sleep(float(reply.header(b'retry-after')))
+
+    async with trio.open_nursery() as nursery:
+        for name in range(6):
+            nursery.start_soon(send_requests, name)
+        await trio.sleep(0.5)
+        stopped.send(signal.SIGTERM)
+        with trio.fail_after(8):
+            assert await stopped.wait() == 0
+        ended.set()
+    runs = {run.request_id for run in two_instances.testbed.checks.runs}
+    assert not runs.intersection(lost)
+    assert statuses[200] > 20
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -14,6 +14,7 @@
         self.requests = []
         self.respond_callbacks = []
         self.cancelled = 0
+        self.expired = 0
         self.answers_at_once = True
 
     def __call__(self, request, respond):
@@ -28,6 +29,11 @@
         """Count the cancellation."""
         self.cancelled += 1
 
+    def expire(self):
+        """Count the expiry, and answer the request."""
+        self.expired += 1
+        self.respond_callbacks[-1](messages.Reply(504))
+
 
 class Harness:
     """A server, and a raw connection to it."""
@@ -174,6 +180,52 @@
     assert b'Connection: close' in await harness.read_all()
 
 
+# Guards against requests that a stop cut though they had been read.
+async def test_stopping_server_answers_the_requests_that_it_has_read(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    harness.server.is_stopping = True
+    harness.handler.respond_callbacks[0](messages.Reply(200))
+    await trio.testing.wait_all_tasks_blocked()
+    harness.handler.respond_callbacks[1](messages.Reply(201))
+    data = await harness.read_all()
+    assert data.count(b'HTTP/1.1 20') == 2
+    assert data.count(b'Connection: close') == 1
+
+
+async def test_expired_requests_are_answered_in_order(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    harness.server.is_stopping = True
+    harness.server.expire_requests()
+    assert harness.handler.expired == 2
+    assert (await harness.read_all()).count(b'HTTP/1.1 504 ') == 2
+
+
+class SecondAtOnceHandler(FakeHandler):
+    """A handler that answers its second request at once."""
+
+    def __call__(self, request, respond):
+        """Record the request; return None if it is answered at once."""
+        is_second = len(self.requests) == 1
+        self.answers_at_once = is_second
+        running = super().__call__(request, respond)
+        return None if is_second else running
+
+
+async def test_request_after_one_that_ended_at_once_is_cancelled(harness):
+    handler = harness.server.handle = SecondAtOnceHandler()
+    await harness.stream.send_all(3 * GET)
+    await trio.testing.wait_all_tasks_blocked()
+    handler.respond_callbacks[0](messages.Reply(200))
+    assert len(handler.requests) == 3
+    await harness.stream.aclose()
+    await trio.testing.wait_all_tasks_blocked()
+    assert handler.cancelled == 1
+
+
 async def test_caller_that_wants_to_close_gets_its_reply(harness):
     await harness.stream.send_all(
         b'GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
