Start while the settings are being written, and without standard output

Tried on with real processes: a settings file that is empty or half written at the start ends the process with status 2 at once; without a standard output it ends with status 1.

Cause: the settings were read once at the start, while a reload tolerates an invalid file; the log sink asks for the descriptor of a stream that is None.

Why this works: the settings are read again for up to 3 s before their error is reported. Without a standard output log lines are dropped; a broken one counts as full.

That either is what the users saw is suspected, not shown.

Tests: tests/platform/test_main.py, two, both fail without the fix.

--- a/savorycross/events/log.py
+++ b/savorycross/events/log.py
@@ -74,6 +74,11 @@
 
 
 def configure():
-    """Write the lines of all event logs to standard output as JSON."""
+    """Write the lines of all event logs to standard output as JSON.
+
+    They are dropped if the process has no standard output.
+    """
     loguru.logger.remove()
+    if sys.stdout is None:
+        return
     loguru.logger.add(sink.Sink(sys.stdout), format='{message}')
--- a/savorycross/events/sink.py
+++ b/savorycross/events/sink.py
@@ -10,8 +10,8 @@
 class Sink:
     """A loguru sink that writes JSON lines to a file descriptor.
 
-    Lines that a full pipe does not accept are dropped and counted; the next
-    line that is written tells how many in its field ``lines_lost``.
+    Lines that a full or broken pipe does not accept are dropped and counted;
+    the next line that is written tells how many in its field ``lines_lost``.
 
     :param stream: file object whose descriptor is made non-blocking.
     """
@@ -40,5 +40,5 @@
         try:
             os.write(self._fd, line)
             self.dropped = 0
-        except (BlockingIOError, BrokenPipeError):
+        except OSError:
             self.dropped += 1
--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -6,9 +6,14 @@
 import functools
 import signal
 import sys
+import time
 
 from savorycross import errors
 
+# Time for a settings file that is being written at the start to be complete.
+SETTINGS_WAIT_S = 3.0
+SETTINGS_RETRY_INTERVAL_S = 0.1
+
 
 def main(arguments):
     """Run an instance until it is told to stop.
@@ -33,7 +38,7 @@
         read_settings = functools.partial(
             settings.read_settings, _parse_port(arguments)
         )
-        instance_settings = read_settings()
+        instance_settings = _read_when_complete(read_settings)
     except errors.SavorycrossError as exc:
         print(f'savorycross: {exc.code}: {exc.message}', file=sys.stderr)
         return exc.exit_status
@@ -45,6 +50,21 @@
     sys.exit(0)
 
 
+def _read_when_complete(read_settings):
+    """Return the settings, which may still be written at the start.
+
+    :raises SettingsError: if they stay invalid.
+    """
+    end_at = time.monotonic() + SETTINGS_WAIT_S
+    while True:
+        try:
+            return read_settings()
+        except errors.SettingsError:
+            if time.monotonic() >= end_at:
+                raise
+            time.sleep(SETTINGS_RETRY_INTERVAL_S)
+
+
 def _parse_port(arguments):
     """Return the metrics port, the only argument.
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -47,6 +47,49 @@
     assert 'usage' in process.stderr or 'port 0' in process.stderr
 
 
+# Reads the settings twice: at first they are incomplete.
+SETTINGS_IN_PROGRESS = """
+import sys
+from savorycross.gateway import instance
+from savorycross.platform import __main__ as main, settings
+reads = []
+def read_settings(port):
+    reads.append(port)
+    if len(reads) < 3:
+        raise main.errors.SettingsError('incomplete')
+    return 'complete'
+async def serve(instance_settings, adapter, read_settings):
+    print(instance_settings)
+settings.read_settings = read_settings
+instance.serve = serve
+sys.exit(main.main(['9464']))
+"""
+
+
+# Guards against a process that ended at its start as its settings were being
+# written.
+def test_settings_that_are_being_written_at_the_start_are_awaited():
+    process = subprocess.run(
+        [sys.executable, '-c', SETTINGS_IN_PROGRESS],
+        capture_output=True,
+        text=True,
+    )
+    assert process.returncode == 0, process.stderr
+    assert process.stdout == 'complete\n'
+
+
+# Guards against a process that ended at its start without standard output.
+def test_process_without_standard_output_starts():
+    process = subprocess.run(
+        f"exec '{sys.executable}' -c \"$SCRIPT\" >&-",
+        shell=True,
+        capture_output=True,
+        text=True,
+        env={**os.environ, 'SCRIPT': SETTINGS_IN_PROGRESS},
+    )
+    assert process.returncode == 0, process.stderr
+
+
 def test_missing_settings_are_reported():
     environment = dict(os.environ)
     environment.pop('SAVORYCROSS_SETTINGS', None)
