End with status 0 when the signal to stop comes again

Cause: at the end of a stop the event loop delivers signals that it has not handed out to the handler of the start, which raised SystemExit in the loop's own code. While the interpreter ends, the default action is in force again.

Why this works: that handler ends the process at once with status 0, since by then all replies are sent and before it there is no request; after the event loop the signal is ignored.

A signal in the first 30 ms or so, before Python runs, still ends the process by itself.

Test: tests/processes/test_platform.py, fails without the fix (status -15).

--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import os
 import signal
 import sys
 import time
@@ -43,11 +44,16 @@
         print(f'savorycross: {exc.code}: {exc.message}', file=sys.stderr)
         return exc.exit_status
     trio.run(instance.serve, instance_settings, adapter, read_settings)
+    # The interpreter would restore the default action, which ends the process
+    # with another status, while it ends anyway.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     return 0
 
 
 def _exit(number, frame):
-    sys.exit(0)
+    # An exception would be raised in whatever code runs, the event loop's own
+    # included, which fails then.
+    os._exit(0)
 
 
 def _read_when_complete(read_settings):
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -290,3 +290,24 @@
     runs = {run.request_id for run in two_instances.testbed.checks.runs}
     assert not runs.intersection(lost)
     assert statuses[200] > 20
+
+
+# Guards against a process that failed as the signal to stop came again.
+async def test_repeated_stop_signals_end_the_process_with_status_0(
+    two_instances,
+):
+    stopped = two_instances.testbed.instances[0]
+    statuses = []
+
+    async def wait():
+        statuses.append(await stopped.wait())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        with trio.fail_after(8):
+            while not statuses:
+                stopped.send(signal.SIGTERM)
+                await trio.sleep(0.005)
+    assert statuses == [0]
+    log = (two_instances.folder / f'{stopped.name}.log').read_text()
+    assert 'Traceback' not in log
