Limit sends to a target that becomes cold again while it runs

Cause: how long a target stays cold was read only from the entry of a target that was unknown or had started anew.

Why this works: each entry extends the cold period, and the limit of sends a second counts those made just before it as well.

Tests: tests/forward/test_engine.py (40 sends instead of 8 without the fix) and tests/forward/test_target_state.py.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -458,7 +458,7 @@
         if not state.is_cold(now):
             return True
         limit = self._cold_limit(state, self._views.binding(now))
-        return state.count_cold_sends(now) + 1 <= limit
+        return state.count_recent_sends(now) + 1 <= limit
 
     def _cold_limit(self, state, binding):
         """Return this instance's limit of sends a second to a cold target."""
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -121,6 +121,8 @@
                 service=target.service,
             )
         current.target = target
+        # A target may become cold again while it runs.
+        current.extend_cold_period(now + target.warmup_s)
 
     def remove(self, target_id, now):
         """Remove a target, if it is known, and close its idle connections.
@@ -202,7 +204,7 @@
         service = self._services.get(state.target.service)
         service_cold_s = service.cold_s if service is not None else 0.0
         cold_s = max(service_cold_s, state.target.warmup_s)
-        state.cold_until = max(state.cold_until, now + cold_s)
+        state.extend_cold_period(now + cold_s)
 
     def _apply_all_shares(self):
         for state in self._by_id.values():
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -1,5 +1,6 @@
 """What this instance knows of the load and health of a target."""
 
+import collections
 import math
 
 from savorycross.forward import backoff
@@ -64,7 +65,7 @@
         self._sampled_at = now
         self._failure_rate = 0.0
         self._outcome_at = now
-        self._cold_sends = []
+        self._recent_sends = collections.deque()
         self.is_leaving = False
         self.paused_until = 0.0
         self.rate = rate or limiter.RateLimiter(target.id, now)
@@ -182,13 +183,18 @@
         """Return whether the target is starting and takes little load."""
         return now < self.cold_until
 
-    def count_cold_sends(self, now):
-        """Return the number of sends in the past second while it was cold."""
-        since = now - COLD_WINDOW_S
-        self._cold_sends = [t for t in self._cold_sends if t > since]
-        return len(self._cold_sends)
+    def extend_cold_period(self, until):
+        """Record that the target is cold until a time at least."""
+        self.cold_until = max(self.cold_until, until)
+
+    def count_recent_sends(self, now):
+        """Return the number of sends in the past second."""
+        sends = self._recent_sends
+        while sends and sends[0] <= now - COLD_WINDOW_S:
+            sends.popleft()
+        return len(sends)
 
     def record_send(self, now):
-        """Record a send, if the target is cold."""
-        if self.is_cold(now):
-            self._cold_sends.append(now)
+        """Record a send, which counts if the target is cold soon after."""
+        self._recent_sends.append(now)
+        self.count_recent_sends(now)
--- a/tests/forward/test_engine.py
+++ b/tests/forward/test_engine.py
@@ -1,7 +1,10 @@
 """Tests of the state that all calls of an instance share."""
 
+import dataclasses
+
 from savorycross.forward import engine
 from savorycross.overload import shares
+from savorycross.route import service
 from tests.forward import fake_engine
 
 
@@ -55,3 +58,27 @@
         shared.set_shares(shares.LimitShares('entry-1', senders))
         shared.advance(1.0)
     assert len(shared._views.binding(shared.now())) <= 4
+
+
+# Guards against a target that crashed, as it became cold again while it ran
+# and went on to get full load.
+def test_running_target_that_becomes_cold_again_is_limited():
+    engine = fake_engine.FakeEngine(is_first_start=False)
+    engine.target_registry.set_services(
+        {'s': service.Service('s', cold_rate_per_s=2.0)}
+    )
+    engine.add_target('a', 's', born=1)
+    engine.advance(3.0)
+    (state,) = engine.target_registry.states()
+    assert not state.is_cold(engine.time)
+    known = state.target
+    cold = dataclasses.replace(known, warmup_s=3.0)
+    engine.target_registry.put(cold, engine.time)
+    cold_at = engine.time
+    for _ in range(40):
+        fake_engine.start_call(engine)
+        engine.advance(0.01)
+    assert len(engine.sends) == 8
+    engine.target_registry.put(known, engine.time)
+    assert state.is_cold(cold_at + 2.9)
+    assert not state.is_cold(cold_at + 3.1)
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -40,7 +40,7 @@
     state.cold_until = 10.0
     sends = []
     for t in range(300):
-        if state.count_cold_sends(t / 100) < 3:
+        if state.count_recent_sends(t / 100) < 3:
             state.record_send(t / 100)
             sends.append(t / 100)
     assert sends
@@ -73,3 +73,14 @@
     state.record_success(4.0)
     assert state.failure_rate(4.0) < high
     assert state.failure_rate(30.0) < 0.05
+
+
+def test_sends_before_a_target_became_cold_count_too():
+    state = _make()
+    for t in (0.0, 0.5, 0.9):
+        state.record_send(t)
+    state.extend_cold_period(5.0)
+    assert state.is_cold(1.2)
+    assert state.count_recent_sends(1.2) == 2
+    state.extend_cold_period(2.0)
+    assert state.is_cold(3.0)
