Test leaving targets with the instances that have passed on their word

The test that replaces it makes each instance pass on such an answer, by slow others, and then asserts for that instance what the old one asserted: none of the 60 requests that follow, five of them while the others are slow, reaches the target, without the 3 s that the rule would leave. The number of judged requests is 120 instead of 60.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -156,22 +156,32 @@
     assert len(names) == 2
 
 
-async def test_target_that_leaves_gets_nothing_more_while_the_store_is_away(
+async def test_target_that_leaves_gets_nothing_more_from_those_it_told(
     two_instances,
 ):
     two_instances.testbed.store.is_busy = True
-    leaving = two_instances.backends('one')[0]
+    leaving, *others = two_instances.backends('one')
     leaving.is_leaving = True
-    for number in range(60):
-        id_ = b'first-%d' % number
-        await two_instances.call(b'/one/x', id_, instance=number % 2)
     runs = two_instances.testbed.checks.runs
-    runs.clear()
-    for number in range(60):
-        id_ = b'second-%d' % number
-        reply = await two_instances.call(b'/one/x', id_, instance=number % 2)
-        assert reply.status == 200
-    assert leaving.id not in {run.backend for run in runs}
+    for instance in range(2):
+        for backend in others:
+            backend.work_s = 0.2
+        for number in range(60):
+            id_ = b'first-%d-%d' % (instance, number)
+            reply = await two_instances.call(b'/one/x', id_, instance=instance)
+            if reply.header(b'server-leaving') == b'1':
+                break
+        else:
+            pytest.fail(f'instance {instance} got no answer that tells it')
+        runs.clear()
+        for number in range(60):
+            if number == 5:
+                for backend in others:
+                    backend.work_s = 0.01
+            id_ = b'second-%d-%d' % (instance, number)
+            reply = await two_instances.call(b'/one/x', id_, instance=instance)
+            assert reply.status == 200
+        assert leaving.id not in {run.backend for run in runs}
 
 
 async def test_targets_that_refuse_for_a_time_get_nothing_until_its_end(
