--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,16 +11,22 @@
 from standins import kv_server
 
 ADDRESS = ('127.0.0.1', 20941)
+SILENT_S = 60.0
 
 
 @pytest.fixture
-async def world(nursery):
-    """Return the model of a store, and a client of it."""
-    model = kv_model.KvModel()
-    served = kv_server.KvServer(model, nursery)
+async def server(nursery):
+    """Return a server of the model of a store."""
+    served = kv_server.KvServer(kv_model.KvModel(), nursery)
     nursery.start_soon(served.run, ADDRESS)
     await trio.testing.wait_all_tasks_blocked()
-    return model, store.PlatformStore(ADDRESS, nursery)
+    return served
+
+
+@pytest.fixture
+async def world(server, nursery):
+    """Return the model of a store, and a client of it."""
+    return server.model, store.PlatformStore(ADDRESS, nursery)
 
 
 async def test_revisions_are_of_the_era_that_answers_name(world):
@@ -51,3 +57,28 @@
     era = (b'Store-Era', b'3')
     assert client._read_era(messages.Reply(200, (era,))) == 3
     assert client._read_era(messages.Reply(200)) == 3
+
+
+# Guards against calls of silent outages that stay silent after them and hold
+# the connections which later calls need.
+async def test_calls_of_silent_outages_leave_connections_to_later_ones(
+    server, world
+):
+    model, client = world
+    for number in range(4):
+        server.delay_s = SILENT_S
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(_watch_in_vain, client)
+        server.delay_s = 0.0
+        model.put('op/config', b'%d' % number)
+        page = await client.watch(item.Revision(1, 1 + number), 1.0)
+        assert [i.value for i in page.items] == [b'%d' % number]
+        await client.open_lease(1.0)
+    assert client.connection_count <= 2
+
+
+async def _watch_in_vain(client):
+    with trio.move_on_after(0.05) as scope:
+        await client.watch(item.Revision(1, 1), 1.0)
+    assert scope.cancelled_caught
