--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -1,6 +1,7 @@
 """Runs an instance with the settings of the platform.
 
-Usage: python -m savorycross.platform METRICS_PORT
+The platform runs ``start``, which calls this; so does
+``python -m savorycross.platform METRICS_PORT``.
 """
 
 import functools
