Treat SIGINT as SIGTERM at the start and the end of a process

A second SIGINT while an instance stopped ended the process with a traceback and status 1, or with -2: the event loop raises a signal again that arrives as its receiver closes, and SIGINT had the interpreter's own action then, and for SIGTERM that was handled. SIGINT each 5 ms until the end: -2 before, 0 now (the test, a single run of each); SIGINT while the settings are read failed before too.

--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -15,6 +15,7 @@
 # Time for a settings file that is being written at the start to be complete.
 SETTINGS_WAIT_S = 3.0
 SETTINGS_RETRY_INTERVAL_S = 0.1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def main(arguments):
@@ -26,8 +27,9 @@
     # A reload signal must not end the process while the instance has no
     # handler for it, at the start or at the end. The slow imports follow.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Until the instance handles the signal there is no request to finish.
-    signal.signal(signal.SIGTERM, _exit)
+    # Until the instance handles these signals there is no request to finish.
+    for number in STOP_SIGNALS:
+        signal.signal(number, _exit)
     import trio
 
     from savorycross.events import log
@@ -47,7 +49,8 @@
     trio.run(instance.serve, instance_settings, adapter, read_settings)
     # The interpreter would restore the default action, which ends the process
     # with another status, while it ends anyway.
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     return 0
 
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -28,8 +28,9 @@
     assert 'survived' in process.stderr
 
 
-def test_stop_signal_during_the_start_ends_the_process_with_status_0():
-    early = EARLY_SIGNAL.replace('SIGHUP', 'SIGTERM')
+@pytest.mark.parametrize('name', ['SIGTERM', 'SIGINT'])
+def test_stop_signal_during_the_start_ends_the_process_with_status_0(name):
+    early = EARLY_SIGNAL.replace('SIGHUP', name)
     process = subprocess.run(
         [sys.executable, '-c', early], capture_output=True, text=True
     )
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -303,8 +303,9 @@
 
 
 # Guards against a process that failed as the signal to stop came again.
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
 async def test_repeated_stop_signals_end_the_process_with_status_0(
-    two_instances,
+    two_instances, number
 ):
     stopped = two_instances.testbed.instances[0]
     statuses = []
@@ -316,7 +317,7 @@
         nursery.start_soon(wait)
         with trio.fail_after(8):
             while not statuses:
-                stopped.send(signal.SIGTERM)
+                stopped.send(number)
                 await trio.sleep(0.005)
     assert statuses == [0]
     log = (two_instances.folder / f'{stopped.name}.log').read_text()
