Unblock the signals that an instance handles

A mask is handed on to a new process. One whose parent blocked SIGTERM never stopped, and was still up 6 s after SIGTERM, so that it would be killed with its requests; with SIGHUP blocked, it did not reload at once. Signals that the parent ignores were handled before. The test failed before.

--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -30,6 +30,8 @@
     # Until the instance handles these signals there is no request to finish.
     for number in STOP_SIGNALS:
         signal.signal(number, _exit)
+    # A parent that blocks signals hands that on.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, *STOP_SIGNALS})
     import trio
 
     from savorycross.events import log
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -37,6 +37,16 @@
     assert process.returncode == 0, process.stderr
 
 
+# Guards against a process that is killed as it never gets the stop signal.
+def test_stop_signal_that_the_parent_blocks_ends_the_process():
+    early = EARLY_SIGNAL.replace('SIGHUP', 'SIGTERM')
+    blocked = 'import signal\nsignal.pthread_sigmask(0, {signal.SIGTERM})'
+    process = subprocess.run(
+        [sys.executable, '-c', blocked + early], capture_output=True, text=True
+    )
+    assert process.returncode == 0, process.stderr
+
+
 @pytest.mark.parametrize('arguments', [[], ['x'], ['0'], ['1', '2']])
 def test_wrong_arguments_are_reported(arguments):
     process = subprocess.run(
