Let reload signals strike starts in the soak

The fault hup_start kills an instance, starts it again and sends SIGHUP at random moments from the time at which the process no longer has its default action, as the kernel tells. Each run now also requires at its end that no instance which had started has ended by itself. Processes are started by the words of the deploy file.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
     'roll',
     'pause',
     'hup',
+    'hup_start',
     'store_link',
     'store_busy',
     'store_slow',
@@ -36,6 +37,9 @@
     'reshard',
     'compact',
 }
+# Duration of the reload signals at a start, and the longest pause in between.
+HUP_START_S = 1.5
+MAX_HUP_PAUSE_S = 0.05
 
 
 class FaultInjector:
@@ -129,6 +133,29 @@
         instance.write_settings()
         instance.send(signal.SIGHUP)
 
+    async def _hup_start(self):
+        """Send reload signals to a starting process, once it handles them."""
+        instance = self._choose_instance()
+        await self._kill_one(instance)
+        if instance.is_stopping:
+            return
+        incarnation = instance.incarnation
+        is_handled = False
+        with trio.move_on_after(HUP_START_S):
+            while instance.incarnation == incarnation:
+                is_handled = is_handled or instance.handles(signal.SIGHUP)
+                if is_handled:
+                    instance.send(signal.SIGHUP)
+                await trio.sleep(self._rng.uniform(0.0, MAX_HUP_PAUSE_S))
+        if (
+            is_handled
+            and instance.incarnation == incarnation
+            and instance.has_ended_by_itself
+        ):
+            self._testbed.checks.add_violation(
+                'exit', f'{instance.name}: ended by itself at its start'
+            )
+
     async def _store_link(self):
         await self._degrade_link(self._choose_instance().store_proxy)
 
--- a/soak/process.py
+++ b/soak/process.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import tomllib
 
 import trio
 
@@ -73,6 +74,23 @@
         """Whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def has_ended_by_itself(self):
+        """Whether the process has ended though nothing has told it to."""
+        return not self.is_running and not self.is_stopping
+
+    def handles(self, signal_number):
+        """Return whether a signal does not have its default action.
+
+        :param signal_number: signal whose default action ends the process.
+        """
+        if not self.is_running:
+            return False
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        masks = dict(line.split(':', 1) for line in status.splitlines())
+        mask = int(masks['SigIgn'], 16) | int(masks['SigCgt'], 16)
+        return bool(mask >> (signal_number - 1) & 1)
+
     def address(self, use):
         """Return the address of a listener.
 
@@ -89,12 +107,7 @@
         log = open(self._log_path, 'ab')
         with log:
             self._process = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'savorycross.platform',
-                    str(METRICS_PORT),
-                ],
+                [sys.executable, *_read_words(), str(METRICS_PORT)],
                 cwd=ROOT,
                 env={
                     **os.environ,
@@ -143,3 +156,10 @@
     @property
     def _settings_path(self):
         return self._folder / f'{self.name}.toml'
+
+
+def _read_words():
+    """Return the deploy file's words without the interpreter and the port."""
+    with open(ROOT / 'deploy/system.toml', 'rb') as file:
+        line = tomllib.load(file)['roles']['entry']['run']
+    return line.split()[1:-1]
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -90,6 +90,7 @@
             await trio.sleep(RECOVERY_S)
             self.recovered_at = trio.current_time()
             await trio.sleep(FINAL_LOAD_S)
+            self._check_running()
         finally:
             self.stop()
         self.checks.finish()
@@ -190,6 +191,13 @@
             ):
                 self.model.put(key, value)
 
+    def _check_running(self):
+        for instance in self.instances:
+            if instance.has_started and instance.has_ended_by_itself:
+                self.checks.add_violation(
+                    'exit', f'{instance.name}: ended by itself'
+                )
+
     def _configure(self):
         self._version += self.rng.randint(1, 3)
         self.checks.shard_sets.append(SHARD_SETS[self._shard_set_index])
