Log why a process ends, and show its memory and descriptors

A process that an exception ended left a traceback on standard error and no line in its log; users who keep only the log saw that it had gone. It logs `instance.failed` with error and trace now, and keeps its exit status. Wrong settings at the start log it as well.

Gauges `memory_bytes` and `open_descriptors` are read when metrics are fetched.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -26,6 +26,7 @@
 from savorycross.gateway import store_changes
 from savorycross.gateway import supervisor
 from savorycross.metrics import loop_load
+from savorycross.metrics import process_usage
 from savorycross.metrics import registry
 from savorycross.overload import caller_subset
 from savorycross.rate import target_rates
@@ -376,6 +377,13 @@
         gauge('budgets_spent', self._engine.count_exhausted_budgets(now))
         gauge('waiting', self._engine.count_waiting())
         gauge('delegates', self._engine.delegates.count(now))
+        usage = {
+            'memory_bytes': process_usage.read_resident_bytes(),
+            'open_descriptors': process_usage.count_descriptors(),
+        }
+        for name, value in usage.items():
+            if value is not None:
+                gauge(name, value)
         headers = ((b'Content-Type', METRICS_CONTENT_TYPE),)
         body = self.metrics.render().encode()
         respond(messages.Reply(200, headers, body))
--- a/savorycross/platform/__main__.py
+++ b/savorycross/platform/__main__.py
@@ -34,6 +34,7 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, *STOP_SIGNALS})
     import trio
 
+    from savorycross.events import failure
     from savorycross.events import log
     from savorycross.gateway import instance
     from savorycross.platform import adapter
@@ -45,10 +46,14 @@
             settings.read_settings, _parse_port(arguments)
         )
         instance_settings = _read_when_complete(read_settings)
+        trio.run(instance.serve, instance_settings, adapter, read_settings)
     except errors.SavorycrossError as exc:
+        failure.report_end(exc)
         print(f'savorycross: {exc.code}: {exc.message}', file=sys.stderr)
         return exc.exit_status
-    trio.run(instance.serve, instance_settings, adapter, read_settings)
+    except BaseException as exc:
+        failure.report_end(exc)
+        raise
     # The interpreter would restore the default action, which ends the process
     # with another status, while it ends anyway.
     for number in STOP_SIGNALS:
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,5 +1,6 @@
 """The process that the platform runs."""
 
+import json
 import os
 import signal
 import subprocess
@@ -112,3 +113,54 @@
     )
     assert process.returncode == 2
     assert 'SAVORYCROSS_SETTINGS' in process.stderr
+
+
+# Fails while the instance serves.
+FAILING_INSTANCE = """
+import sys
+from savorycross.gateway import instance
+from savorycross.platform import __main__ as main, settings
+settings.read_settings = lambda port: 'complete'
+async def serve(instance_settings, adapter, read_settings):
+    raise {}
+instance.serve = serve
+sys.exit(main.main(['9464']))
+"""
+
+
+# Guards against processes that ended without a line that says why.
+@pytest.mark.parametrize(
+    'raised',
+    [
+        "RuntimeError('broken')",
+        "BaseExceptionGroup('broken', [SystemError(), SystemExit(0)])",
+        'KeyboardInterrupt',
+        'MemoryError',
+    ],
+)
+def test_process_that_an_exception_ends_logs_it(raised):
+    process = subprocess.run(
+        [sys.executable, '-c', FAILING_INSTANCE.format(raised)],
+        capture_output=True,
+        text=True,
+    )
+    assert process.returncode != 0
+    line = json.loads(process.stdout)
+    assert line['event'] == 'instance.failed'
+    assert raised.partition('(')[0] in line['error']
+    assert 'in serve' in line['trace']
+
+
+def test_process_that_its_settings_end_logs_it(tmp_path):
+    path = tmp_path / 'settings.toml'
+    path.write_text('node = 1')
+    process = subprocess.run(
+        [sys.executable, '-m', 'savorycross.platform', '9464'],
+        capture_output=True,
+        text=True,
+        env={**os.environ, 'SAVORYCROSS_SETTINGS': str(path)},
+    )
+    assert process.returncode == 2
+    line = json.loads(process.stdout)
+    assert line['event'] == 'instance.failed'
+    assert str(path) in line['error']
