Let a task that fails end only itself

Callers saw an instance end by itself with status 1. Its connections, the buffered writes and its withdrawal from the store ran in the instance's nursery without a supervisor, so that any error that left one of them, such as that of a request that fails to be cancelled as its caller disconnects, cancelled all others. No input is known that raises one.

A connection closes its socket before it cancels its request.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -67,11 +67,11 @@
         self._settings = settings
         self._adapter = adapter
         self._read_settings = read_settings
-        self._nursery = nursery
         self.log = logs.EventLog(
             settings.name, trio.current_time, gateways.SUCCESS_EVENTS
         )
         self.metrics = registry.Registry()
+        self._nursery = supervisor.GuardedNursery(nursery, self.metrics)
         self._rng = random.Random()
         self._timers = timers_module.Timers()
         self._buffered = reply_size.BufferedBytes()
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -292,11 +292,11 @@
         self._transport.close()
 
     def _cancel_and_close(self):
-        if self._running is not None:
-            self._running.cancel()
-        self._running = None
+        running, self._running = self._running, None
         self._current = None
         self._transport.close()
+        if running is not None:
+            running.cancel()
 
 
 class Server:
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -1,8 +1,12 @@
 """Tests of the HTTP server."""
 
+import socket
+
 import pytest
 import trio
 
+from savorycross.gateway import supervisor
+from savorycross.metrics import registry
 from savorycross.wire import messages
 from savorycross.wire import server
 
@@ -267,3 +271,36 @@
     respond(messages.ReplyChunk(b'c', True))
     assert await harness.read() == b'1\r\nc\r\n0\r\n\r\n'
     assert len(harness.handler.requests) == 2
+
+
+class FailingHandler(FakeHandler):
+    """A handler whose requests fail to be cancelled and to expire."""
+
+    def __init__(self):
+        super().__init__()
+        self.answers_at_once = False
+
+    def cancel(self):
+        """Fail."""
+        raise RuntimeError('cancel')
+
+    def expire(self):
+        """Fail."""
+        raise RuntimeError('expire')
+
+
+# Guards against a process that ends as a caller disconnects.
+async def test_request_that_fails_to_cancel_ends_only_its_connection(nursery):
+    metrics = registry.Registry()
+    guarded = supervisor.GuardedNursery(nursery, metrics)
+    failing = server.Server(FailingHandler(), guarded)
+    ours, theirs = socket.socketpair()
+    with ours:
+        failing.serve_socket(theirs)
+        ours.sendall(GET)
+        await trio.sleep(0.05)
+        assert failing.busy == 1
+    await trio.sleep(0.05)
+    assert failing.busy == 0
+    assert theirs.fileno() == -1
+    assert 'task_failures{task="Server._run"} 1' in metrics.render()
