Keep a failed reload, heartbeat or expiry from failing the stop

The loop that waits for signals ran reloads and the stop without a net. An error there that nobody expects ended the process with status 1; had it only been caught around the loop, the instance would have been deaf to the signal to stop. An error of one request that expires kept the others from their replies and the process from status 0.

Each reload and each expiry is contained now, and the farewell heartbeats run in a task of their own, so that neither an error nor a socket that blocks delays the stop.

The test of a real process with a reload that fails, and that of the expiry, fail on the code before: status 1 after SIGHUP, and an error that leaves `expire_requests`.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -11,6 +11,7 @@
 from savorycross.delegate import selector
 from savorycross.discovery import follower as followers
 from savorycross.discovery import mirror as mirrors
+from savorycross.events import failure
 from savorycross.events import log as logs
 from savorycross.fleet import announcer as announcers
 from savorycross.fleet import directory
@@ -399,8 +400,10 @@
             async for number in received:
                 if number != signal.SIGHUP:
                     break
-                self.log.event('settings.reload_asked')
-                self._reload()
+                # The loop also waits for the signal to stop.
+                with failure.contained('reload'):
+                    self.log.event('settings.reload_asked')
+                    self._reload()
             await self._stop()
 
     def _reload(self):
@@ -430,7 +433,7 @@
         for running_server in self._servers.values():
             running_server.is_stopping = True
         self.log.event('instance.stopping', busy=self._caller_server.busy)
-        await self._heartbeat_transport.send(to_all=True)
+        self._nursery.start_soon(self._heartbeat_transport.send, True)
         self._nursery.start_soon(self._announcer.withdraw)
         directory_expired_at = (
             started_at + DIRECTORY_TTL_FACTOR * self._settings.directory_ttl_s
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -336,7 +336,8 @@
     def expire_requests(self):
         """Let all requests that were read be answered without delay."""
         for connection in list(self._connections):
-            connection.expire()
+            with failure.contained('expiry of a request'):
+                connection.expire()
 
     def count_rejected(self, status):
         """Report a request that was rejected before it was handled."""
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -5,9 +5,12 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
+from soak import process as process_settings
+
 # Sends the signal to its own process while it reads the settings, when the
 # instance does not handle signals yet.
 EARLY_SIGNAL = """
@@ -164,3 +167,58 @@
     line = json.loads(process.stdout)
     assert line['event'] == 'instance.failed'
     assert str(path) in line['error']
+
+
+# Fails to read the settings, in a way that nobody expects, once it serves.
+FAILING_RELOAD = """
+import sys
+from savorycross.platform import __main__ as main, settings
+read_settings = settings.read_settings
+reads = []
+def read_once(port):
+    reads.append(port)
+    if len(reads) > 1:
+        raise RuntimeError('broken')
+    return read_settings(port)
+settings.read_settings = read_once
+sys.exit(main.main(['18100']))
+"""
+
+
+# Guards against an instance that ends, or no longer stops when it is told to.
+def test_reload_that_fails_does_not_end_the_instance_or_its_stop(tmp_path):
+    path = tmp_path / 'settings.toml'
+    path.write_text(
+        process_settings.SETTINGS.format(
+            name='entry-1',
+            ip='127.9.37.1',
+            zone='north',
+            low=18090,
+            high=18099,
+            seeds='',
+            bootstrap='true',
+            listen='front = "127.9.37.1:18080"\n'
+            'ready = "127.9.37.1:18081"\n'
+            'directory = "127.9.37.1:18082"\n',
+            store='127.9.37.1:18001',
+        )
+    )
+    environment = {**os.environ, 'SAVORYCROSS_SETTINGS': str(path)}
+    with subprocess.Popen(
+        [sys.executable, '-c', FAILING_RELOAD],
+        stdout=subprocess.PIPE,
+        env=environment,
+        text=True,
+    ) as process:
+        seen = []
+        for line in process.stdout:
+            event = json.loads(line)['event']
+            seen.append(event)
+            if event == 'instance.started':
+                # The handlers are set in the same step of the event loop.
+                time.sleep(0.5)
+                process.send_signal(signal.SIGHUP)
+            elif event == 'internal.error' and seen.count(event) == 1:
+                process.send_signal(signal.SIGTERM)
+    assert process.returncode == 0
+    assert seen[-1] == 'instance.stopped'
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -304,3 +304,23 @@
     assert failing.busy == 0
     assert theirs.fileno() == -1
     assert 'task_failures{task="Server._run"} 1' in metrics.render()
+
+
+# Guards against a stop that ends as one of its requests fails.
+async def test_request_that_fails_to_expire_does_not_keep_others_from_it(
+    harness,
+):
+    harness.handler.answers_at_once = False
+    failing_handler = FailingHandler()
+    harness.server.handle = failing_handler
+    ours, theirs = socket.socketpair()
+    with ours:
+        harness.server.serve_socket(theirs)
+        ours.sendall(GET)
+        await trio.sleep(0.05)
+        harness.server.handle = harness.handler
+        await harness.stream.send_all(GET)
+        await trio.sleep(0.05)
+        harness.server.expire_requests()
+        failing_handler.respond_callbacks[0](messages.Reply(200))
+    assert harness.handler.expired == 1
