Pass on replies whose stated idle time has hundreds of digits

A caller waited for the timeout of its route, and the store's reader for its own, though the reply had arrived: the number of a Keep-Alive header does not fit into a time beyond 308 digits, nor into an int beyond 4300. The error came after the exchange was taken from its connection, so that it was told neither of the reply nor of a loss.

The first 9 digits are read.

--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -19,7 +19,8 @@
 # before the peer closes the connection.
 IDLE_MARGIN_S = 0.5
 
-_KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
+# Longer numbers would not fit into a time.
+_KEEP_ALIVE = re.compile(rb'timeout=(\d{1,9})')
 
 
 class Exchange(typing.Protocol):
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -186,3 +186,16 @@
     assert exchange.reply.body == b''
     assert (await _call(conn_pool)).reply.body == b'ok'
     assert conn_pool.opened_count == 1
+
+
+# Guards against calls that wait in vain for a reply that has arrived.
+@pytest.mark.parametrize('digits', [9, 400, 5000])
+async def test_reply_that_states_an_endless_idle_time_is_passed_on(
+    listen, nursery, digits
+):
+    keep_alive = b'OK\r\nKeep-Alive: timeout=' + b'9' * digits
+    reply = OK.replace(b'OK', keep_alive)
+    conn_pool = pool.Pool(await listen(reply, OK), nursery)
+    for _ in range(2):
+        assert (await _call(conn_pool)).reply.body == b'ok'
+    assert conn_pool.opened_count == 1
