Keep unsent bytes when a writable socket refuses them after all

A kernel short of memory for sockets may report a socket as writable and then not take bytes. All bytes that waited were dropped then, and the connection went on with a gap, or its caller waited in vain. Not seen on a real socket; found by reading. The test, with a socket that refuses three times, loses the bytes on the code before.

--- a/savorycross/wire/transport.py
+++ b/savorycross/wire/transport.py
@@ -84,7 +84,10 @@
         try:
             while self._pending and self.is_open:
                 await trio.lowlevel.wait_writable(self._sock)
-                sent_bytes = self._sock.send(self._pending)
+                try:
+                    sent_bytes = self._sock.send(self._pending)
+                except BlockingIOError:
+                    continue
                 del self._pending[:sent_bytes]
         except (OSError, trio.ClosedResourceError):
             self._pending.clear()
