Become ready only once callers can connect, soon after a port is free

An instance whose port for callers was in use at its start, as when the process before it still stops, was ready and in the directory while callers were refused. It tried again after up to 2 s: one real process took 1.6 s after the port was free.

The test of a real process fails on the code before: it was ready while its port was in use.

--- a/savorycross/fleet/heartbeat_transport.py
+++ b/savorycross/fleet/heartbeat_transport.py
@@ -6,6 +6,7 @@
 
 from savorycross.fleet import heartbeat
 from savorycross.fleet import peer_registry
+from savorycross.wire import binding
 
 MAX_DATAGRAM_BYTES = 16384
 
@@ -34,7 +35,7 @@
         """Exchange heartbeats until cancelled."""
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with self._socket:
-            await self._socket.bind(self._peers.own.address)
+            await binding.bind(self._socket, self._peers.own.address)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 while True:
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -82,6 +82,7 @@
         self._make_fleet()
         self._make_servers()
         self._is_stopping = False
+        self._is_synced = False
 
     def _make_peers(self):
         settings = self._settings
@@ -307,9 +308,16 @@
         if configuration is None:
             return
         self._caller_server.limits = configuration.limits
-        if not self._is_stopping and not self._directory.is_ready:
+        self._is_synced = True
+        self._update_readiness()
+
+    def _update_readiness(self):
+        """Become ready once callers can connect and be served."""
+        if self._is_stopping or self._directory.is_ready:
+            return
+        if self._is_synced and self._caller_server.is_listening:
             self._directory.is_ready = True
-            self.log.event('instance.ready', version=configuration.version)
+            self.log.event('instance.ready', version=self._gateway.version)
 
     def _on_peer_item(self, key, item):
         if key == self._own_key:
@@ -348,6 +356,7 @@
             self._engine.prune(now)
             self._mirror.apply_held_changes(now)
             self._loop_load.sample(now)
+            self._update_readiness()
             self._update_shares()
             total_s = _read_suspended_s()
             if total_s - suspended_s > MAX_SUSPENSION_S:
--- a/savorycross/rate/transport.py
+++ b/savorycross/rate/transport.py
@@ -5,6 +5,7 @@
 import trio
 
 from savorycross.rate import protocol
+from savorycross.wire import binding
 
 MAX_DATAGRAM_BYTES = 16384
 # Messages that wait to be sent; further ones are dropped, as old news and
@@ -46,7 +47,7 @@
     async def run(self):
         """Exchange messages until cancelled."""
         with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            await sock.bind(self._address)
+            await binding.bind(sock, self._address)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 while True:
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -9,6 +9,7 @@
 import trio
 
 from savorycross.events import failure
+from savorycross.wire import binding
 from savorycross.wire import messages
 from savorycross.wire import transport as transports
 
@@ -302,7 +303,8 @@
 class Server:
     """A server that listens on an address and passes requests to a handler.
 
-    ``is_stopping`` makes each connection close after its next reply.
+    ``is_stopping`` makes each connection close after its next reply;
+    ``is_listening`` tells whether ``run`` has come to listen.
 
     :param handle: a Handler.
     :param nursery: nursery for the tasks of the connections.
@@ -314,6 +316,7 @@
         self.handle = handle
         self.limits = Limits()
         self.is_stopping = False
+        self.is_listening = False
         self._nursery = nursery
         self._on_rejected = on_rejected
         self._connections = set()
@@ -351,9 +354,10 @@
         """
         listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await listener.bind(address)
-        listener.listen(ACCEPT_BACKLOG)
         with listener:
+            await binding.bind(listener, address)
+            listener.listen(ACCEPT_BACKLOG)
+            self.is_listening = True
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._check_timeouts)
                 await self._accept(listener)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -3,6 +3,7 @@
 import collections
 import functools
 import signal
+import socket
 
 import pytest
 import trio
@@ -322,3 +323,23 @@
     assert statuses == [0]
     log = (two_instances.folder / f'{stopped.name}.log').read_text()
     assert 'Traceback' not in log
+
+
+# Guards against an instance that is listed while callers cannot connect.
+async def test_instance_is_ready_as_soon_as_its_port_is_free(two_instances):
+    bed = two_instances.testbed
+    second = bed.instances[1]
+    second.kill()
+    with socket.socket() as taken:
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        taken.bind(second.address('front'))
+        taken.listen()
+        second.start()
+        await trio.sleep(4.0)
+        assert second.has_started
+        assert not await bed.is_ready(second)
+    with trio.fail_after(1.2):
+        while not await bed.is_ready(second):
+            await trio.sleep(0.05)
+    reply = await two_instances.call(b'/one/x', b'id-1', instance=1)
+    assert reply.status == 200
