Start and follow changes beside a store that is slow

An instance that started beside a store whose replies took 1.6 s or more was never ready: each listing was given up after 1.5 s. Changes did not arrive beyond 1.0 s, as a watch that follows a failure was given up then. Both limits are short as a connection may be silent for good.

After a listing that was not answered the next one gets 3.0 s, and so by turns; a watch after one that failed likewise gets 3.0 s each second time. Both are below the time in which bounds apply again after an outage.

Two tests fail on the code before: no page of four, no change in 10 s.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -10,6 +10,9 @@
 # The store answers a watch when its wait time is over; a watch that is silent
 # for this much longer is dead.
 WATCH_GRACE_S = 1.0
+# Each second watch after one that failed may be silent for longer: the store
+# may be slow.
+SLOW_WATCH_GRACE_S = 3.0
 # Part of the time bound on a change that is left for it to arrive and be
 # applied.
 APPLY_MARGIN_S = 0.5
@@ -185,8 +188,9 @@
 
     async def _watch(self, wait_s):
         self.is_watching = True
+        grace_s = SLOW_WATCH_GRACE_S if self._failures % 2 else WATCH_GRACE_S
         try:
-            with trio.move_on_after(wait_s + WATCH_GRACE_S) as scope:
+            with trio.move_on_after(wait_s + grace_s) as scope:
                 page = await self._store.watch(self._mirror.revision, wait_s)
         finally:
             self.is_watching = False
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 import msgspec
+import trio
 
 from savorycross import decoding
 from savorycross.discovery import item
@@ -12,6 +13,9 @@
 from savorycross.wire import client
 
 CALL_TIMEOUT_S = 1.5
+# A listing that was not answered in that time gets this one the next time: the
+# store may be slow, or the connection silent for good.
+SLOW_LISTING_TIMEOUT_S = 3.0
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -55,6 +59,7 @@
     def __init__(self, address, nursery):
         self._client = client.Client(address, nursery)
         self._era = 0
+        self._listing_timeout_s = CALL_TIMEOUT_S
 
     @property
     def connection_count(self):
@@ -66,7 +71,7 @@
         query = {'prefix': ''}
         if after:
             query['after'] = after
-        reply = await self._call(b'GET', '/v1/kv-range', query)
+        reply = await self._list(query)
         page = _decode(reply, _range_decoder)
         era = self._read_era(reply)
         return item.Page(
@@ -75,6 +80,23 @@
             page.has_more,
         )
 
+    async def _list(self, query):
+        """Call for a page of a listing, patiently each second time."""
+        started_at = trio.current_time()
+        timeout_s = self._listing_timeout_s
+        try:
+            reply = await self._call(
+                b'GET', '/v1/kv-range', query, timeout_s=timeout_s
+            )
+        except errors.StoreUnavailableError:
+            self._listing_timeout_s = CALL_TIMEOUT_S
+            if timeout_s == CALL_TIMEOUT_S:
+                self._listing_timeout_s = SLOW_LISTING_TIMEOUT_S
+            raise
+        if trio.current_time() - started_at < CALL_TIMEOUT_S:
+            self._listing_timeout_s = CALL_TIMEOUT_S
+        return reply
+
     async def watch(self, revision, wait_s):
         """Return the changes after a revision, waiting for the first."""
         query = {
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -17,7 +17,8 @@
     """Holds items; can be unavailable, restored, and can drop its history.
 
     ``is_down`` makes all calls fail, ``is_silent`` makes watches hang;
-    without ``has_history``, all watches fail.
+    without ``has_history``, all watches fail. Answers come after
+    ``delay_s`` seconds.
     """
 
     def __init__(self):
@@ -26,6 +27,7 @@
         self.is_down = False
         self.is_silent = False
         self.has_history = True
+        self.delay_s = 0.0
         self.era = 1
         self.page_size = 1000
         self.oldest_revision = 0
@@ -103,6 +105,8 @@
         events = tuple(
             e for e in self._events if e.revision.number > revision.number
         )
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
         return item.Page(events, self._now)
 
     def _record_call(self, name):
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -146,6 +146,16 @@
     assert sorted(copy.items) == ['a', 'b']
 
 
+# Guards against an instance that hears of nothing while the store is slow.
+async def test_changes_arrive_from_a_slow_store(world, autojump_clock):
+    store, copy, _ = world
+    store.delay_s = 2.0
+    for n in range(5):
+        store.put_value(f'k{n}', b'2')
+        await trio.sleep(10)
+        assert f'k{n}' in copy.items
+
+
 @pytest.mark.parametrize('change_deadline_s', [3.0, 5.0, 20.0])
 async def test_many_instances_apply_a_change_within_its_bound(
     nursery, autojump_clock, change_deadline_s
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """The client of the platform's store, against a stand-in."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -82,3 +84,28 @@
     with trio.move_on_after(0.05) as scope:
         await client.watch(item.Revision(1, 1), 1.0)
     assert scope.cancelled_caught
+
+
+# Guards against an instance that starts beside a slow store and serves
+# nothing.
+async def test_listing_of_a_slow_store_is_awaited(server, world):
+    model, client = world
+    model.put('op/config', b'1')
+    server.delay_s = 2.0
+    pages = []
+    for _ in range(4):
+        with contextlib.suppress(errors.StoreUnavailableError):
+            pages.append(await client.read_page(''))
+    assert len(pages) >= 2
+
+
+async def test_listing_on_a_silent_connection_is_soon_repeated(server, world):
+    _, client = world
+    server.delay_s = SILENT_S
+    with pytest.raises(errors.StoreUnavailableError):
+        await client.read_page('')
+    server.delay_s = 0.0
+    await client.read_page('')
+    server.delay_s = SILENT_S
+    with trio.fail_after(2.0), pytest.raises(errors.StoreUnavailableError):
+        await client.read_page('')
