Take a store's reply without sense as a failed call

A page without items that has more, or an era of thousands of digits, raised an error in the task that follows the store: it was started again, and logged `internal.error` each time. Eras beyond 64 bits would not fit into heartbeats. The one counts as no valid reply now, the other is not read. Both tests fail on the code before.

--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import math
+import re
 import urllib.parse
 
 import msgspec
@@ -38,6 +39,8 @@
 
 # Number of the store's era, in all of its answers.
 _ERA = b'store-era'
+# Longer numbers do not fit into the messages between instances.
+_ERA_TEXT = re.compile(rb'\d{1,18}')
 
 
 class _Lease(msgspec.Struct, frozen=True):
@@ -73,6 +76,8 @@
             query['after'] = after
         reply = await self._list(query)
         page = _decode(reply, _range_decoder)
+        if page.has_more and not page.items:
+            raise errors.StoreUnavailableError('a page without items has more')
         era = self._read_era(reply)
         return item.Page(
             _to_items(page.items, era),
@@ -159,7 +164,7 @@
     def _read_era(self, reply):
         """Return the era that a reply names, or that of the one before."""
         value = reply.header(_ERA)
-        if value is not None and value.isdigit():
+        if value is not None and _ERA_TEXT.fullmatch(value):
             self._era = int(value)
         return self._era
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -59,6 +59,9 @@
     era = (b'Store-Era', b'3')
     assert client._read_era(messages.Reply(200, (era,))) == 3
     assert client._read_era(messages.Reply(200)) == 3
+    for endless in (b'9' * 19, b'9' * 5000):
+        reply = messages.Reply(200, ((b'Store-Era', endless),))
+        assert client._read_era(reply) == 3
 
 
 # Guards against calls of silent outages that stay silent after them and hold
@@ -109,3 +112,13 @@
     server.delay_s = SILENT_S
     with trio.fail_after(2.0), pytest.raises(errors.StoreUnavailableError):
         await client.read_page('')
+
+
+# Guards against an error in the task that follows the store.
+async def test_listing_that_goes_on_after_an_empty_page_is_no_reply(
+    server, world, monkeypatch
+):
+    _, client = world
+    monkeypatch.setattr(kv_server, 'MAX_ITEMS_PER_PAGE', -1)
+    with pytest.raises(errors.StoreUnavailableError):
+        await client.read_page('')
