Refuse numbers beyond 64 bits in configurations, entries and replies

Slots of 400 digits failed the adoption of each later configuration. Found by writing changed configurations and entries to the store of real processes.

Such numbers make a configuration or an entry invalid now, as other wrong fields do, and a store's reply a failed call. Six tests fail on the code before.

--- a/savorycross/decoding.py
+++ b/savorycross/decoding.py
@@ -1,5 +1,12 @@
 """Decoding of messages from other processes."""
 
+import typing
+
+import msgspec
+
+# An int that can be passed on in messages between instances.
+Integer = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 
 def decode(decoder, data):
     """Return the message that bytes encode.
--- a/savorycross/platform/configuration.py
+++ b/savorycross/platform/configuration.py
@@ -23,33 +23,33 @@
     timeout_ms: float
     # The latency objective.
     goal_ms: float = 0.0
-    attempts: int = 1
-    priority: int = 0
+    attempts: decoding.Integer = 1
+    priority: decoding.Integer = 0
     service: str = ''
     # Services among which requests are split by weight.
     backends: tuple[_WeightedService, ...] = ()
     # Services that all answer, each with a part: the shards of an index.
     fanout: tuple[str, ...] = ()
-    top_k: int = 0
+    top_k: decoding.Integer = 0
     min_share: float = 1.0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    max_conns: int = 0
+    max_conns: decoding.Integer = 0
     warmup_s: float = 0.0
     warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = server.MAX_HEADER_BYTES
-    max_body_bytes: int = server.MAX_BODY_BYTES
+    max_header_bytes: decoding.Integer = server.MAX_HEADER_BYTES
+    max_body_bytes: decoding.Integer = server.MAX_BODY_BYTES
     header_ms: float = server.HEADER_TIMEOUT_S * 1000
     idle_ms: float = server.IDLE_TIMEOUT_S * 1000
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: decoding.Integer
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -19,18 +19,18 @@
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: decoding.Integer
     state: str
     version: str = ''
     # Milliseconds for which a target stays slow after its start.
     warmup_ms: float = 0.0
-    born: int = 0
+    born: decoding.Integer = 0
     # Number of the target's writes since its start.
-    seq: int = 0
+    seq: decoding.Integer = 0
 
 
 class _Version(msgspec.Struct, frozen=True):
-    version: int
+    version: decoding.Integer
 
 
 _decoder = msgspec.json.Decoder(_Entry)
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -21,19 +21,19 @@
 
 class _Item(msgspec.Struct, frozen=True):
     key: str
-    rev: int
+    rev: decoding.Integer
     value: str = ''
     removed: bool = False
 
 
 class _Range(msgspec.Struct, frozen=True):
-    current_rev: int
+    current_rev: decoding.Integer
     items: tuple[_Item, ...] = ()
     has_more: bool = False
 
 
 class _Watch(msgspec.Struct, frozen=True):
-    current_rev: int
+    current_rev: decoding.Integer
     events: tuple[_Item, ...] = ()
 
 
@@ -44,7 +44,7 @@
 
 
 class _Lease(msgspec.Struct, frozen=True):
-    lease: int
+    lease: decoding.Integer
 
 
 _range_decoder = msgspec.json.Decoder(_Range)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -74,3 +74,12 @@
 
 def test_unknown_fields_are_ignored():
     assert _decode(service='x', colour='red').version == 7
+
+
+# Guards against versions that no heartbeat can carry, without which an
+# instance is alone and fails to stop.
+@pytest.mark.parametrize('version', [10**19, 10**30, -(10**30), 10**400])
+def test_version_beyond_64_bits_is_invalid(version):
+    data = json.dumps({'version': version, 'routes': []}).encode()
+    with pytest.raises(errors.ConfigurationInvalidError):
+        configuration.decode_configuration(data)
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -48,6 +48,8 @@
         {'addr': '10.0.0.999:80'},
         {'addr': '10.0.0.9:99999'},
         {'addr': 7},
+        {'slots': 10**400},
+        {'born': 10**30},
         {'slots': 'many'},
         {'slots': 0},
         {'state': 'resting'},
