Give each run of tests and soak loopback addresses of its own

Cause: tests served at fixed ports of 127.0.0.1, soak runs of one seed at the same 127.x.y, and deployments of processes at fixed ports. Listeners allow the reuse of addresses, so a second run fails to bind, or its clients meet the server of the other run.

Why this works: a process holds a random 127.x.y by a listening lock socket until it ends, and all its servers use addresses there. What the tests assert is unchanged.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -18,6 +18,7 @@
 from standins import backend as backends
 from standins import kv_model
 from standins import kv_server
+from standins import loopback
 
 ZONES = ('bilbo', 'donosti', 'iruna')
 SHARD_SETS = (('a1', 'a2', 'a3', 'a4'), ('b1', 'b2', 'b3', 'b4', 'b5', 'b6'))
@@ -58,7 +59,7 @@
         self.recovered_at = 0.0
         self._nursery = nursery
         self._folder = folder
-        self._subnet = f'127.{10 + seed % 200}.{seed // 200 % 250}'
+        self._subnet = loopback.hold_network()
         self._n_instances = n_instances
         self._n_callers = n_callers
         self._backend_numbers = itertools.count(1)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -45,6 +45,8 @@
     :param keep_s: seconds of the setting ``keep_s`` of the instances.
     :param median_ms: median service time of a warm target in milliseconds.
     :param warm: whether the targets start with warm caches.
+    :param host: loopback address of all processes but the targets, whose
+        addresses stand in the sheet.
     """
 
     def __init__(
@@ -57,11 +59,13 @@
         keep_s=1.0,
         median_ms=4.0,
         warm=False,
+        host='127.0.0.1',
     ):
         self.ports = ports or Ports()
+        self.host = host
         self.processes = {}
         self.entries = [
-            f'127.0.0.1:{self.ports.http + i}' for i in range(instances)
+            f'{host}:{self.ports.http + i}' for i in range(instances)
         ]
         self.sheet = pathlib.Path(sheet)
         self._centres = centres
@@ -70,13 +74,18 @@
         self._median_ms = median_ms
         self._warm = warm
 
+    @property
+    def platform_address(self):
+        """Host and port of the platform as text."""
+        return f'{self.host}:{self.ports.platform}'
+
     def start_standins(self):
         """Start the platform and the targets."""
         self._folder.mkdir(parents=True, exist_ok=True)
         listed = [
             {
                 'name': self.name(i),
-                'host': '127.0.0.1',
+                'host': self.host,
                 'http_port': self.ports.http + i,
                 'peer_port': self.ports.peer + i,
             }
@@ -85,6 +94,7 @@
         self._start(
             'platform',
             'standins.platform',
+            f'--host={self.host}',
             f'--port={self.ports.platform}',
             f'--instances={json.dumps(json.dumps(listed))}',
         )
@@ -92,6 +102,7 @@
             'targets',
             'standins.targets',
             f'--sheet={self.sheet}',
+            f'--host={self.host}',
             f'--control-port={self.ports.control}',
             f'--median-ms={self._median_ms}',
             f'--warm={self._warm}',
@@ -108,9 +119,10 @@
             'serve',
             f'--name={self.name(number)}',
             f'--data_centre={self._centres[number % len(self._centres)]}',
+            f'--host={self.host}',
             f'--http_port={self.ports.http + number}',
             f'--peer_port={self.ports.peer + number}',
-            f'--platform=127.0.0.1:{self.ports.platform}',
+            f'--platform={self.platform_address}',
             f'--keep_s={self._keep_s}',
         )
 
@@ -137,7 +149,7 @@
             'sheet',
             'apply',
             str(self.sheet),
-            f'--platform=127.0.0.1:{self.ports.platform}',
+            f'--platform={self.platform_address}',
             *flags,
         )
 
@@ -150,9 +162,7 @@
 
     def wait_for_platform(self):
         """Wait until the platform answers."""
-        self._wait_for_url(
-            f'http://127.0.0.1:{self.ports.platform}/v1/instances'
-        )
+        self._wait_for_url(f'http://{self.platform_address}/v1/instances')
 
     def wait_ready(self, number):
         """Wait until an instance is ready."""
@@ -160,17 +170,17 @@
 
     def control_targets(self, **body):
         """Send a control request to the targets."""
-        url = f'http://127.0.0.1:{self.ports.control}/control'
+        url = f'http://{self.host}:{self.ports.control}/control'
         return fetch_json(url, body)
 
     def control_platform(self, **body):
         """Send a control request to the platform."""
-        url = f'http://127.0.0.1:{self.ports.platform}/control'
+        url = f'http://{self.platform_address}/control'
         return fetch_json(url, body)
 
     def record(self):
         """Return the records of the targets."""
-        return fetch_json(f'http://127.0.0.1:{self.ports.control}/record')
+        return fetch_json(f'http://{self.host}:{self.ports.control}/record')
 
     def status(self, number):
         """Return the status of an instance."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -96,21 +96,22 @@
     return http_server.Response(200, json.dumps(body).encode())
 
 
-async def serve(model, port):
+async def serve(model, port, host='127.0.0.1'):
     """Serve a model until cancelled."""
     server = PlatformServer(model)
     await trio.serve_tcp(
         functools.partial(http_server.serve_stream, handle=server.handle),
         port,
-        host='127.0.0.1',
+        host=host,
     )
 
 
-def main(port, instances='[]'):
+def main(port, instances='[]', host='127.0.0.1'):
     """Serve an empty key-value service.
 
     :param port: port on loopback.
     :param instances: JSON array of the listed instances.
+    :param host: loopback address.
     """
     if not isinstance(instances, str):
         instances = json.dumps(instances)
@@ -118,7 +119,7 @@
     model.listed = [
         protocol.ListedInstance(**i) for i in json.loads(instances)
     ]
-    trio.run(serve, model, port)
+    trio.run(serve, model, port, host)
 
 
 if __name__ == '__main__':
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -166,7 +166,14 @@
     return models
 
 
-async def serve(catalogue, control_port, timing=None, warm=False, seed=0):
+async def serve(
+    catalogue,
+    control_port,
+    timing=None,
+    warm=False,
+    seed=0,
+    host='127.0.0.1',
+):
     """Serve all targets of a catalogue until cancelled."""
     models = make_models(catalogue, timing, seed)
     servers = {}
@@ -182,11 +189,18 @@
         await trio.serve_tcp(
             functools.partial(http_server.serve_stream, handle=control.handle),
             control_port,
-            host='127.0.0.1',
+            host=host,
         )
 
 
-def main(sheet, control_port, median_ms=4.0, warm=False, seed=0):
+def main(
+    sheet,
+    control_port,
+    median_ms=4.0,
+    warm=False,
+    seed=0,
+    host='127.0.0.1',
+):
     """Serve all targets of a sheet.
 
     :param sheet: path of the sheet.
@@ -194,10 +208,11 @@
     :param median_ms: median service time of a warm target in milliseconds.
     :param warm: whether the targets start with warm caches.
     :param seed: seed of the service times.
+    :param host: loopback address of the control interface.
     """
     catalogue = check.check(pathlib.Path(sheet).read_bytes())
     timing = target_model.Timing(median_s=median_ms / 1000)
-    trio.run(serve, catalogue, control_port, timing, warm, seed)
+    trio.run(serve, catalogue, control_port, timing, warm, seed, host)
 
 
 if __name__ == '__main__':
--- a/tests/booking/test_idempotency_keys.py
+++ b/tests/booking/test_idempotency_keys.py
@@ -6,6 +6,7 @@
 from savorycross.booking import idempotency_keys
 from savorycross import errors
 from savorycross.store import http
+from standins import loopback
 from standins import platform
 from standins import platform_model
 
@@ -68,9 +69,10 @@
 
 async def test_store_over_http_names_its_era_in_each_reply(nursery):
     model = platform_model.PlatformModel()
-    nursery.start_soon(platform.serve, model, 20961)
+    host, port = loopback.find_address()
+    nursery.start_soon(platform.serve, model, port, host)
     await trio.testing.wait_all_tasks_blocked()
-    store = http.HttpStore(('127.0.0.1', 20961))
+    store = http.HttpStore((host, port))
     await store.get('absent')
     assert store.era == 1
     model.restore(model.make_copy())
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -18,7 +18,14 @@
 DATA_CENTRES = ('north', 'middle', 'south')
 
 
-def make_sheet(services=2, slots=4, cold_slots=1, extra=(), shards=3):
+def make_sheet(
+    services=2,
+    slots=4,
+    cold_slots=1,
+    extra=(),
+    shards=3,
+    host='127.0.0.1',
+):
     """Return the bytes of a sheet whose services have three replicas each.
 
     :param services: number of services.
@@ -26,6 +33,7 @@
     :param cold_slots: slots of a cold target.
     :param extra: further rows, as dictionaries.
     :param shards: number of shards of each service.
+    :param host: IP address of the targets.
     """
     rows = [{'kind': 'data_centre', 'name': c} for c in DATA_CENTRES]
     port = 30000
@@ -43,7 +51,7 @@
                     'service': name,
                     'replica_set': name,
                     'data_centre': data_centre,
-                    'address': f'127.0.0.1:{port}',
+                    'address': f'{host}:{port}',
                     'shards': ' '.join(map(str, range(shards))),
                     'slots': slots,
                     'connections': 20,
--- a/tests/fleet/test_announcer.py
+++ b/tests/fleet/test_announcer.py
@@ -7,10 +7,11 @@
 from savorycross.platform import store
 from standins import kv_model
 from standins import kv_server
+from standins import loopback
 from tests.fleet import test_peer_registry
 from tests import null_log
 
-ADDRESS = ('127.0.0.1', 20951)
+ADDRESS = loopback.find_address()
 KEY = 'savorycross/instances/a1'
 OTHER_KEY = 'savorycross/instances/a2'
 
--- a/tests/fleet/test_mirror_sync.py
+++ b/tests/fleet/test_mirror_sync.py
@@ -12,6 +12,7 @@
 from savorycross.fleet import mirror_sync
 from savorycross.fleet import peer_registry
 from savorycross.wire import server
+from standins import loopback
 from tests.discovery import fakes
 from tests.fleet import test_peer_registry
 from tests import null_log
@@ -85,7 +86,7 @@
     theirs.revision = fakes.at(9)
     theirs.is_complete = is_complete
     peer_server = server.Server(mirror_sync.make_handler(theirs), nursery)
-    address = ('127.0.0.1', 20931)
+    address = loopback.find_address()
     nursery.start_soon(peer_server.run, address)
     await trio.testing.wait_all_tasks_blocked()
     mine = mirror.Mirror(lambda key, value: None)
@@ -199,10 +200,9 @@
     theirs.revision = fakes.at(9)
     handlers = (mirror_sync.make_handler(theirs), _stay_silent)
     now = trio.current_time()
-    for port, name in ((20932, 'a1'), (20933, 'a2')):
-        peer = heartbeat.Peer(
-            name, 1, 'a', ('127.0.0.1', port), ('127.0.0.1', 1)
-        )
+    addresses = [loopback.find_address() for _ in range(2)]
+    for address, name in zip(addresses, ('a1', 'a2'), strict=True):
+        peer = heartbeat.Peer(name, 1, 'a', address, ('127.0.0.1', 1))
         registry.register(peer, now)
         registry.on_heartbeat(
             heartbeat.Heartbeat(
@@ -212,10 +212,10 @@
             now,
         )
     first = registry.find_ahead(item.NO_REVISION, now).peer
-    for port in (20932, 20933):
-        is_first = first.address[1] == port
+    for address in addresses:
+        is_first = first.address == address
         peer_server = server.Server(handlers[is_first], nursery)
-        nursery.start_soon(peer_server.run, ('127.0.0.1', port))
+        nursery.start_soon(peer_server.run, address)
     await trio.testing.wait_all_tasks_blocked()
     mine = mirror.Mirror(lambda key, value: None)
     tested = mirror_sync.MirrorSynchronizer(
@@ -301,7 +301,7 @@
     theirs = mirror.Mirror(lambda key, value: None)
     theirs.apply(item.Item('op/config', fakes.at(3, era=2), b'10'), 0.0)
     theirs.revision = fakes.at(3, era=2)
-    address = ('127.0.0.1', 20934)
+    address = loopback.find_address()
     peer_server = server.Server(mirror_sync.make_handler(theirs), nursery)
     nursery.start_soon(peer_server.run, address)
     await trio.testing.wait_all_tasks_blocked()
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -26,6 +26,7 @@
 from savorycross.platform import settings as platform_settings
 from savorycross.platform import store
 from savorycross.wire import messages
+from standins import loopback
 from tests.fleet import test_peer_registry
 from tests import null_log
 
@@ -188,7 +189,7 @@
 
 async def test_malformed_datagrams_do_not_stop_heartbeats(nursery):
     own = heartbeat.Peer(
-        'a0', 1, 'x', ('127.0.0.1', 20941), ('127.0.0.1', 20942)
+        'a0', 1, 'x', loopback.find_address(), loopback.find_address()
     )
     metrics = registry.Registry()
     peers = peer_registry.PeerRegistry(own, null_log.NullLog())
--- a/tests/peer/test_datagrams.py
+++ b/tests/peer/test_datagrams.py
@@ -10,8 +10,9 @@
 from savorycross.peer import codec
 from savorycross.peer import datagrams
 from savorycross.peer import messages
+from standins import loopback
 
-ADDRESSES = (('127.0.0.1', 20951), ('127.0.0.1', 20952))
+ADDRESSES = (loopback.find_address(), loopback.find_address())
 PING = messages.Datagram('ping', 'a', 1, 2, '', 3, 4, 5, 6, False)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,8 +11,9 @@
 from savorycross.wire import messages
 from standins import kv_model
 from standins import kv_server
+from standins import loopback
 
-ADDRESS = ('127.0.0.1', 20941)
+ADDRESS = loopback.find_address()
 SILENT_S = 60.0
 
 
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -8,6 +8,7 @@
 
 from bench import callers as bench_callers
 from standins import deployment
+from standins import loopback
 from tests import deployments
 
 DATA_CENTRES = deployments.DATA_CENTRES
@@ -17,9 +18,15 @@
 def running_deployment(tmp_path):
     """Yield a running deployment of 4 instances."""
     sheet = tmp_path / 'sheet.csv'
-    sheet.write_bytes(deployments.make_sheet())
+    host = loopback.find_host()
+    sheet.write_bytes(deployments.make_sheet(host=host))
     new_deployment = deployment.Deployment(
-        sheet, DATA_CENTRES, tmp_path / 'logs', keep_s=1.0, warm=True
+        sheet,
+        DATA_CENTRES,
+        tmp_path / 'logs',
+        keep_s=1.0,
+        warm=True,
+        host=host,
     )
     try:
         new_deployment.start_all()
--- a/tests/processes/test_product.py
+++ b/tests/processes/test_product.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins import deployment
+from standins import loopback
 from tests import deployments
 
 CLOSED_ADDRESS = '127.0.0.1:9'
@@ -16,9 +17,14 @@
     """Yield a running deployment of 4 instances."""
     folder = tmp_path_factory.mktemp('product')
     sheet = folder / 'sheet.csv'
-    sheet.write_bytes(deployments.make_sheet())
+    host = loopback.find_host()
+    sheet.write_bytes(deployments.make_sheet(host=host))
     new_deployment = deployment.Deployment(
-        sheet, deployments.DATA_CENTRES, folder / 'logs', warm=True
+        sheet,
+        deployments.DATA_CENTRES,
+        folder / 'logs',
+        warm=True,
+        host=host,
     )
     try:
         new_deployment.start_all()
@@ -36,7 +42,7 @@
 
 
 def platform(running_deployment):
-    return f'--platform=127.0.0.1:{running_deployment.ports.platform}'
+    return f'--platform={running_deployment.platform_address}'
 
 
 def test_entries_are_found_although_the_first_address_is_closed(
@@ -112,7 +118,9 @@
 def test_sheet_is_applied_and_waited_for(running_deployment, tmp_path):
     sheet = tmp_path / 'next.csv'
     extra = [{'kind': 'state', 'name': 'north', 'state': 'out'}]
-    sheet.write_bytes(deployments.make_sheet(extra=extra))
+    sheet.write_bytes(
+        deployments.make_sheet(extra=extra, host=running_deployment.host)
+    )
     result = running_deployment.run_command(
         'sheet', 'diff', str(sheet), platform(running_deployment), '--json'
     )
@@ -159,7 +167,9 @@
         {'kind': 'state', 'name': name, 'state': 'out'}
         for name in ('north', 'south')
     ]
-    sheet.write_bytes(deployments.make_sheet(extra=extra))
+    sheet.write_bytes(
+        deployments.make_sheet(extra=extra, host=running_deployment.host)
+    )
     status, output = run_json_command(
         running_deployment,
         'sheet',
@@ -174,7 +184,8 @@
 def test_invalid_bytes_on_a_port_disturb_no_caller(running_deployment, offset):
     for invalid_bytes in (b'\xff' * 100, b'\x00\x00\x00\x08garbage!', b'GET'):
         with socket.create_connection(
-            ('127.0.0.1', running_deployment.ports.http + offset), timeout=5
+            (running_deployment.host, running_deployment.ports.http + offset),
+            timeout=5,
         ) as stream:
             stream.sendall(invalid_bytes)
     status, output = run_json_command(running_deployment, 'query', 'find')
