Check in the soak that no process ends by itself

The soak noticed the exit status of processes that it had stopped only. A process that ends though nothing asked it to, an internal error or a traceback in a log, and a peak of memory above 120 MB are violations now.

New faults: the loss of all with reloads beside the restart, a kill right after a change, an instance that gets a fifth to a tenth of the processor, callers that repeat failed calls at once, backends that are grey, a zone that comes back at once, a configuration that grows beside a restart, settings that are half written, changed or renamed. Some callers use connections until they break.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -26,6 +26,7 @@
     :param sent_at: clock time in seconds, as is ``ended_at``.
     :param instance: IP address of the instance.
     :param reason: why there is no answer.
+    :param is_unlisted: whether the caller knew that the instance leaves.
     """
 
     id: str
@@ -35,6 +36,7 @@
     ended_at: float
     instance: str
     reason: str = ''
+    is_unlisted: bool = False
 
 
 class Caller:
@@ -55,6 +57,8 @@
         self._client = None
         self._address = None
         self._call_count = 0
+        # Some use their connections for as long as they last.
+        self._keeps_connections = rng.random() < 0.25
 
     async def run(self):
         """Make calls until cancelled."""
@@ -86,14 +90,19 @@
         self._addresses = [host_port.split(a) for a in answer['addrs']]
         factor = 3 if self._rng.random() < 0.2 else 1
         self._addresses_expire_at = now + factor * answer['ttl_s']
-        if self._address not in self._addresses:
+        if not (self._keeps_connections or self._is_listed):
             self._disconnect()
 
+    @property
+    def _is_listed(self):
+        return self._address in self._addresses
+
     async def _call(self):
-        if (
-            self._client is None
-            or self._call_count % CALLS_PER_CONNECTION == 0
-        ):
+        is_used_up = (
+            self._call_count % CALLS_PER_CONNECTION == 0
+            and not self._keeps_connections
+        )
+        if self._client is None or is_used_up:
             self._disconnect()
             self._address = self._rng.choice(self._addresses)
             self._client = client.Client(self._address, self._nursery)
@@ -105,6 +114,7 @@
             (b'Deadline-Ms', b'%d' % DEADLINE_MS),
         )
         method = b'POST' if kind == 'once' else b'GET'
+        is_unlisted = not self._is_listed
         sent_at = trio.current_time()
         status, reason = 0, ''
         try:
@@ -131,8 +141,30 @@
                 trio.current_time(),
                 self._address[0] if self._address else '',
                 reason,
+                is_unlisted,
             )
         )
+        if status != 200:
+            for i in range(self._testbed.repeats):
+                self._nursery.start_soon(self._repeat, f'{id_}-{i}')
+
+    async def _repeat(self, id_):
+        """Make a call on a connection of its own, whatever becomes of it."""
+        address = self._rng.choice(self._testbed.instances).address('front')
+        new_client = client.Client(address, self._nursery)
+        headers = (
+            (b'Host', HOST.encode()),
+            (b'Request-Id', id_.encode()),
+            (b'Deadline-Ms', b'%d' % DEADLINE_MS),
+        )
+        try:
+            await new_client.call(
+                b'GET', b'/one/x', b'', DEADLINE_MS / 1000, headers
+            )
+        except errors.ConnectionLostError:
+            pass
+        finally:
+            new_client.close()
 
     def _check(self, id_, kind, reply):
         if not 200 <= reply.status < 300:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,7 @@
 TOP_K = 5
 MIN_COVERAGE = 0.75
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+MAX_MEMORY_MB = 120
 # Ratio of calls that must succeed at the end, when all faults are over.
 MIN_RECOVERED_RATIO = 0.95
 
@@ -29,6 +30,7 @@
         self.runs = []
         self.left_at = {}
         self.shard_sets = []
+        self.max_memory_mb = MAX_MEMORY_MB
         self._testbed = testbed
 
     def add_violation(self, rule, text):
@@ -91,6 +93,28 @@
                 f'{stated.rate_per_s:.1f} a second',
             )
 
+    def check_processes(self):
+        """Check that no process ended that nothing asked to end."""
+        for instance in self._testbed.instances:
+            status = instance.unexpected_status
+            if status is None:
+                continue
+            started = 'after' if instance.has_started else 'before'
+            self.add_violation(
+                'ended', f'{instance.name}: {status}, {started} its start'
+            )
+            instance.start()
+
+    def check_health(self):
+        """Check the errors in the logs, and the memory, of the instances."""
+        for instance in self._testbed.instances:
+            for line in instance.read_errors():
+                self.add_violation('error', f'{instance.name}: {line[:200]}')
+            if instance.peak_memory_mb > self.max_memory_mb:
+                self.add_violation(
+                    'memory', f'{instance.name}: {instance.peak_memory_mb} MB'
+                )
+
     def finish(self):
         """Check the invariants that concern the whole run."""
         self._check_at_most_once()
@@ -98,6 +122,8 @@
         self._check_recovered()
 
     def _check_lost(self, outcome):
+        if outcome.is_unlisted:
+            return
         last_fault_end = self._testbed.last_fault_end(outcome.ended_at)
         if outcome.sent_at - last_fault_end > SETTLE_TIME_S:
             self.add_violation('lost', f'{outcome.id}: {outcome.reason}')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,21 @@
     'backend_mute',
     'backend_limits',
     'reshard',
+    'lose_all',
+    'kill_after_change',
+    'slow_instance',
+    'repeat_calls',
+    'grey_backends',
+    'zone_returns',
+    'grow_configuration',
+)
+SETTINGS_CHANGES = ('same', 'changed', 'half', 'renamed')
+# Attributes of backends, their values while these are grey, and else.
+GREY = (
+    ('fail_share', 0.4, 0.0),
+    ('lose_share', 0.4, 0.0),
+    ('pause_s', 0.3, 0.0),
+    ('work_s', 0.08, 0.01),
 )
 # Planned operations must not interrupt any call.
 PLANNED_FAULTS = {
@@ -103,7 +118,7 @@
             return
         instance.is_stopping = True
         instance.send(signal.SIGTERM)
-        if self._rng.random() < 0.3:
+        if self._rng.random() < 0.3 and instance.runs_program:
             instance.send(signal.SIGHUP)
         with trio.move_on_after(8):
             status = await instance.wait()
@@ -129,32 +144,101 @@
         instance.send(signal.SIGCONT)
 
     async def _hup(self):
+        await self._reload(self._choose_instance())
+
+    async def _reload(self, instance):
+        """Write the settings and tell the instance, half written at times."""
+        how = self._rng.choice(SETTINGS_CHANGES)
+        instance.write_settings(how)
+        if instance.runs_program:
+            instance.send(signal.SIGHUP)
+        if how == 'half':
+            await trio.sleep(self._rng.uniform(0.0, 0.5))
+            instance.write_settings()
+
+    async def _lose_all(self):
+        """Kill all at once, and start all at once beside reloads."""
+        instances = [i for i in self._testbed.instances if not i.is_stopping]
+        if self._rng.random() < 0.5:
+            for instance in instances:
+                await self._reload(instance)
+        for instance in instances:
+            instance.is_stopping = True
+            instance.kill()
+        await trio.sleep(self._rng.choice([0.0, 0.01, 0.8, 1.6]))
+        for instance in instances:
+            instance.start()
+        for instance in instances:
+            await trio.sleep(self._rng.uniform(0.0, 0.3))
+            await self._reload(instance)
+
+    async def _kill_after_change(self):
+        self._testbed.reshard()
+        await trio.sleep(self._rng.choice([0.002, 0.02, 0.1, 0.4]))
+        await self._kill_one(self._choose_instance())
+
+    async def _slow_instance(self):
+        """Let an instance run a fifth to a tenth of the time."""
         instance = self._choose_instance()
-        instance.write_settings()
-        instance.send(signal.SIGHUP)
+        share = 1 / self._rng.uniform(5.0, 10.0)
+        period_s = self._rng.choice([0.02, 0.1])
+        with trio.move_on_after(self._draw_duration_s() + 2.0):
+            while True:
+                instance.send(signal.SIGSTOP)
+                await trio.sleep(period_s * (1 - share))
+                instance.send(signal.SIGCONT)
+                await trio.sleep(period_s * share)
+        instance.send(signal.SIGCONT)
+
+    async def _repeat_calls(self):
+        self._testbed.repeats = self._rng.randint(5, 20)
+        await trio.sleep(self._draw_duration_s())
+        self._testbed.repeats = 0
+
+    async def _grey_backends(self):
+        """Let some backends fail in one way, their entries being good."""
+        attribute, grey_value, value = self._rng.choice(GREY)
+        share = self._rng.uniform(0.14, 0.4)
+        backends = [
+            p.backend
+            for p in self._testbed.backends
+            if self._rng.random() < share
+        ]
+        for backend in backends:
+            setattr(backend, attribute, grey_value)
+        await trio.sleep(self._draw_duration_s())
+        for backend in backends:
+            setattr(backend, attribute, value)
+
+    async def _zone_returns(self):
+        """Cut off all backends of a zone, which come back together."""
+        zone = self._choose_backend().backend.zone
+        mode = self._rng.choice([proxy.Mode.SILENT, proxy.Mode.RESET])
+        proxies = [
+            p.proxy for p in self._testbed.backends if p.backend.zone == zone
+        ]
+        for link_proxy in proxies:
+            link_proxy.set_mode(mode)
+        await trio.sleep(self._draw_duration_s())
+        for link_proxy in proxies:
+            link_proxy.set_mode(proxy.Mode.PASS)
+
+    async def _grow_configuration(self):
+        """Add routes beside a restart."""
+        self._testbed.add_routes(self._rng.choice([310, 350, 2000]))
+        await trio.sleep(self._rng.uniform(0.0, 0.3))
+        await self._kill_one(self._choose_instance())
 
     async def _hup_start(self):
         """Send reload signals to a starting process, once it handles them."""
         instance = self._choose_instance()
         await self._kill_one(instance)
-        if instance.is_stopping:
-            return
         incarnation = instance.incarnation
-        is_handled = False
         with trio.move_on_after(HUP_START_S):
             while instance.incarnation == incarnation:
-                is_handled = is_handled or instance.handles(signal.SIGHUP)
-                if is_handled:
+                if instance.runs_program:
                     instance.send(signal.SIGHUP)
                 await trio.sleep(self._rng.uniform(0.0, MAX_HUP_PAUSE_S))
-        if (
-            is_handled
-            and instance.incarnation == incarnation
-            and instance.has_ended_by_itself
-        ):
-            self._testbed.checks.add_violation(
-                'exit', f'{instance.name}: ended by itself at its start'
-            )
 
     async def _store_link(self):
         await self._degrade_link(self._choose_instance().store_proxy)
--- a/soak/process.py
+++ b/soak/process.py
@@ -19,6 +19,8 @@
 INTERNAL_PORTS = (18090, 18099)
 METRICS_PORT = 18100
 GRACE_S = 6
+# Parts of log lines that report an error in the program.
+ERROR_WORDS = ('internal.error', 'Traceback')
 SETTINGS = """
 node = "{name}"
 ip = "{ip}"
@@ -62,6 +64,8 @@
         self._log_path.touch()
         self._log_start = 0
         self._process = None
+        self._is_end_expected = True
+        self._runs_program = False
 
     @property
     def has_started(self):
@@ -71,26 +75,43 @@
             return b'instance.started' in log.read()
 
     @property
-    def is_running(self):
-        """Whether the process is running."""
-        return self._process is not None and self._process.poll() is None
+    def unexpected_status(self):
+        """Exit status of a process that ended though nothing asked it to."""
+        if self._is_end_expected:
+            return None
+        return self._process.poll()
 
     @property
-    def has_ended_by_itself(self):
-        """Whether the process has ended though nothing has told it to."""
-        return not self.is_running and not self.is_stopping
+    def peak_memory_mb(self):
+        """Largest resident memory of the running process."""
+        status = self._read_status()
+        return int(status.get('VmHWM', '0').split()[0]) / 1024
 
-    def handles(self, signal_number):
-        """Return whether a signal does not have its default action.
+    @property
+    def runs_program(self):
+        """Whether the program, not only its interpreter, has begun.
 
-        :param signal_number: signal whose default action ends the process.
+        Until then the default actions of signals are in force.
         """
-        if not self.is_running:
-            return False
-        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
-        masks = dict(line.split(':', 1) for line in status.splitlines())
-        mask = int(masks['SigIgn'], 16) | int(masks['SigCgt'], 16)
-        return bool(mask >> (signal_number - 1) & 1)
+        if not self._runs_program:
+            status = self._read_status()
+            mask = int(status.get('SigIgn', '0'), 16)
+            mask |= int(status.get('SigCgt', '0'), 16)
+            self._runs_program = bool(mask >> (signal.SIGHUP - 1) & 1)
+        return self._runs_program
+
+    def read_errors(self):
+        """Return the lines of the log that report an error in the program."""
+        return [
+            line
+            for line in self._log_path.read_text().splitlines()
+            if any(word in line for word in ERROR_WORDS)
+        ]
+
+    @property
+    def is_running(self):
+        """Whether the process is running."""
+        return self._process is not None and self._process.poll() is None
 
     def address(self, use):
         """Return the address of a listener.
@@ -104,6 +125,8 @@
         self.write_settings()
         self.incarnation += 1
         self.is_stopping = False
+        self._is_end_expected = False
+        self._runs_program = False
         self._log_start = self._log_path.stat().st_size
         log = open(self._log_path, 'ab')
         with log:
@@ -118,8 +141,12 @@
                 stderr=log,
             )
 
-    def write_settings(self):
-        """Write the settings file again."""
+    def write_settings(self, how='same'):
+        """Write the settings file again.
+
+        :param how: 'same', 'changed', 'half' (the first half only) or
+            'renamed' (another file takes its place).
+        """
         host, port = self.store_proxy.address
         text = SETTINGS.format(
             name=self.name,
@@ -135,11 +162,22 @@
             ),
             store=f'{host}:{port}',
         )
-        self._settings_path.write_text(text)
+        if how == 'changed':
+            text = text.replace('retry_slack = 200', 'retry_slack = 150')
+        if how == 'half':
+            text = text[: len(text) // 2]
+        if how != 'renamed':
+            self._settings_path.write_text(text)
+            return
+        other_path = self._settings_path.with_suffix('.new')
+        other_path.write_text(text)
+        other_path.replace(self._settings_path)
 
     def send(self, signal_number):
         """Send a signal."""
         if self.is_running:
+            if signal_number == signal.SIGTERM:
+                self._is_end_expected = True
             self._process.send_signal(signal_number)
 
     async def wait(self):
@@ -151,10 +189,20 @@
     def kill(self):
         """Kill the process, also if it is suspended."""
         if self.is_running:
+            self._is_end_expected = True
             self._process.send_signal(signal.SIGCONT)
             self._process.kill()
             self._process.wait()
 
+    def _read_status(self):
+        """Return the fields of the process in ``/proc``."""
+        path = pathlib.Path('/proc', str(self._process.pid), 'status')
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return {}
+        return dict(line.split(':', 1) for line in lines)
+
     @property
     def _settings_path(self):
         return self._folder / f'{self.name}.toml'
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -28,6 +28,7 @@
 RECOVERY_S = 12.0
 FINAL_LOAD_S = 4.0
 DRAIN_LINGER_S = 5.0
+PROCESS_CHECK_INTERVAL_S = 0.05
 STORE_PORT = 18200
 
 
@@ -57,6 +58,8 @@
         self.instances = []
         self.backends = []
         self.recovered_at = 0.0
+        # How many times callers repeat a failed call at once.
+        self.repeats = 0
         self._nursery = nursery
         self._folder = folder
         self._subnet = loopback.hold_network()
@@ -65,6 +68,7 @@
         self._backend_numbers = itertools.count(1)
         self._version = 0
         self._shard_set_index = 0
+        self._extra_routes = 0
         self._unplanned_faults = []
 
     async def run(self, seconds, only=None):
@@ -75,6 +79,7 @@
         """
         try:
             await self.start()
+            self._nursery.start_soon(self._check_processes)
             for i in range(self._n_callers):
                 new_caller = caller.Caller(
                     self,
@@ -91,7 +96,7 @@
             await trio.sleep(RECOVERY_S)
             self.recovered_at = trio.current_time()
             await trio.sleep(FINAL_LOAD_S)
-            self._check_running()
+            self.checks.check_health()
         finally:
             self.stop()
         self.checks.finish()
@@ -165,6 +170,11 @@
         self._shard_set_index = 1 - self._shard_set_index
         self._configure()
 
+    def add_routes(self, count):
+        """Write a new configuration version with further routes."""
+        self._extra_routes += count
+        self._configure()
+
     async def restore_store(self, older, delay_s):
         """Restore the store, and let others write again what it lost.
 
@@ -192,13 +202,6 @@
             ):
                 self.model.put(key, value)
 
-    def _check_running(self):
-        for instance in self.instances:
-            if instance.has_started and instance.has_ended_by_itself:
-                self.checks.add_violation(
-                    'exit', f'{instance.name}: ended by itself'
-                )
-
     def _configure(self):
         self._version += self.rng.randint(1, 3)
         self.checks.shard_sets.append(SHARD_SETS[self._shard_set_index])
@@ -230,6 +233,15 @@
                 **common,
             },
         ]
+        routes += [
+            {
+                'name': f'extra-{i}',
+                'prefix': f'/extra-{i}/',
+                'service': 'one',
+                **idempotent,
+            }
+            for i in range(self._extra_routes)
+        ]
         names = [*itertools.chain(*SHARD_SETS), *UNSHARDED_SERVICES]
         services = [{'name': n, 'max_conns': 60} for n in names]
         document = {
@@ -239,6 +251,11 @@
         }
         self.model.put('op/config', json.dumps(document).encode())
 
+    async def _check_processes(self):
+        while True:
+            await trio.sleep(PROCESS_CHECK_INTERVAL_S)
+            self.checks.check_processes()
+
     async def _start_store(self):
         self._nursery.start_soon(self.store.run, self._store_address)
         await trio.sleep(0.05)
