Hear an instance that restarts after its clock was set back

Peers took the later time of start of two incarnations for the newer one. An instance that started again with its clock set back by more than it had run was ignored until its previous incarnation was forgotten: peers did not list it to callers for 20 s, and after a loss of all with clocks set back some listed one instance of four for as long.

The time of the start decides only until the known incarnation has been silent for the longest time after which a peer counts as dead. A late copy of an entry still cannot replace a live peer.

The test fails on the code before.

--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -78,13 +78,19 @@
     def register(self, peer, now):
         """Add a peer, or a newer incarnation of one.
 
-        It is not alive until a heartbeat or a status row tells so.
+        It is not alive until a heartbeat or a status row tells so. Clocks
+        may be set back between two starts, so that the time of the start
+        tells the newer one only until the known one has long been silent.
         """
         if peer.name == self.own.name:
             return
         previous = self._by_name.get(peer.name)
         if previous is not None:
-            if previous.peer.started_at >= peer.started_at:
+            if previous.peer == peer:
+                return
+            is_newer = peer.started_at > previous.peer.started_at
+            silent_s = now - _last_seen_at(previous)
+            if not is_newer and silent_s < REMOTE_DEAD_AFTER_S:
                 return
             self._by_id.pop(previous.peer.id, None)
         state = PeerState(peer, now)
@@ -141,8 +147,7 @@
             if now - lookup[1] < INTRODUCTION_S
         }
         for name, state in list(self._by_name.items()):
-            last_seen_at = max(state.registered_at, state.heard_at or 0.0)
-            if now - last_seen_at > FORGET_AFTER_S:
+            if now - _last_seen_at(state) > FORGET_AFTER_S:
                 del self._by_name[name]
                 self._by_id.pop(state.peer.id, None)
 
@@ -346,6 +351,10 @@
         return now - state.heard_at < timeout_s
 
 
+def _last_seen_at(state):
+    return max(state.registered_at, state.heard_at or 0.0)
+
+
 def _seconds_since_heard(state, now):
     if state is None or state.heard_at is None:
         return None
--- a/tests/fleet/test_peer_registry.py
+++ b/tests/fleet/test_peer_registry.py
@@ -140,6 +140,31 @@
     assert restarted.started_at == 9
 
 
+# Guards against restarts that peers ignored for 20 s after a clock step.
+def test_instance_restarted_after_its_clock_was_set_back_is_heard():
+    group = Group(bilbo='abc', iruna='de')
+    group.run(3)
+    group.add(_peer('b', started_at=0))
+    group.members['b'].register(group.members['a'].own, group.now)
+    group.run(6)
+    for name in 'acde':
+        (restarted,) = [
+            p
+            for p in group.members[name].serving_peers(group.now)
+            if p.name == 'b'
+        ]
+        assert restarted.started_at == 0
+
+
+def test_entry_of_a_previous_incarnation_does_not_replace_a_live_one():
+    group = Group(bilbo='abc')
+    group.add(_peer('b', started_at=9))
+    group.members['b'].register(group.members['a'].own, group.now)
+    group.run(3)
+    group.members['a'].register(_peer('b', started_at=1), group.now)
+    assert group.serving('a') == ['b', 'c']
+
+
 def test_unknown_instance_is_asked_for_its_peer():
     group = Group(bilbo='ab', iruna='de')
     group.run(2)
