Give a test of a real process the grace time that its settings need now

The settings of the soak's processes take it as a field since requests that wait to be read are answered when an instance ends; the test failed with a KeyError where both changes meet.

--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -197,6 +197,7 @@
             high=18099,
             seeds='',
             bootstrap='true',
+            grace_s=process_settings.GRACE_S,
             listen='front = "127.9.37.1:18080"\n'
             'ready = "127.9.37.1:18081"\n'
             'directory = "127.9.37.1:18082"\n',
