Go on with a listing of the store where it failed

An instance that lists the store began with the first page again after each failed call. Beside a store that refuses a part of the calls, a listing of many pages therefore never came to its end, and after a loss of all, when no peer has a copy, no instance became ready: a system that runs and serves nothing.

A listing now goes on with the page that failed. The watch begins at the revision that its first page showed, as before, so that changes since then arrive, however long the listing took.

The first test fails on the code before; the second guards the change and passed before.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -70,6 +70,28 @@
     return Timing(wait_s, pause_s)
 
 
+@dataclasses.dataclass(slots=True)
+class _Listing:
+    """How far a listing has come.
+
+    :param revision: the store's Revision that the first page shows.
+    :param after: key after which the next page begins.
+    """
+
+    revision: object = None
+    after: str = ''
+    has_more: bool = True
+    keys: set = dataclasses.field(default_factory=set)
+
+    def add(self, page):
+        """Note that a page was read."""
+        self.revision = self.revision or page.revision
+        self.keys.update(item.key for item in page.items)
+        self.has_more = page.has_more
+        if page.has_more:
+            self.after = page.items[-1].key
+
+
 class Follower:
     """Lists the store's items, then watches for changes to them.
 
@@ -111,6 +133,7 @@
         self._is_on_duty = is_on_duty
         self._urgent_until = 0.0
         self._scope = trio.CancelScope()
+        self._listing = None
         self._failed_at = None
         # Failures and lost histories since a watch was answered.
         self._failures = 0
@@ -132,6 +155,7 @@
             except errors.HistoryGoneError:
                 self._log.event('store.history_gone')
                 self._mirror.is_complete = False
+                self._listing = None
                 if self._histories_gone:
                     await trio.sleep(_retry_delay_s(self._histories_gone))
                 self._histories_gone += 1
@@ -150,6 +174,7 @@
             while True:
                 if not self._mirror.is_complete:
                     await self._list()
+                self._listing = None
                 if self._is_on_duty(trio.current_time()):
                     await self._watch(wait_s)
                     wait_s = self._timing.wait_s
@@ -159,20 +184,23 @@
         return False
 
     async def _list(self):
-        keys = set()
-        after = ''
-        first_revision = None
-        while True:
-            page = await self._store.read_page(after)
+        """List all items, from the page on that failed the last time.
+
+        Changes since the first page come with the watch, however long ago
+        that was.
+        """
+        if self._listing is None:
+            self._listing = _Listing()
+        listing = self._listing
+        while listing.has_more:
+            page = await self._store.read_page(listing.after)
             self.note_answer()
-            if first_revision is None:
-                first_revision = page.revision
+            first_revision = listing.revision or page.revision
+            self._check_era(page, first_revision)
             self._check_era(page, max(first_revision, self._mirror.revision))
             self._apply(page.items)
-            keys.update(item.key for item in page.items)
-            if not page.has_more:
-                break
-            after = page.items[-1].key
+            listing.add(page)
+        keys, first_revision = listing.keys, listing.revision
         known_revision = self._mirror.revision
         self._mirror.retain(keys, first_revision, trio.current_time())
         self._mirror.revision = max(first_revision, self._mirror.revision)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -5,6 +5,7 @@
 
 from savorycross.discovery import follower
 from savorycross.discovery import mirror
+from savorycross import errors
 from tests.discovery import fakes
 from tests import null_log
 from tests import recording_log
@@ -261,6 +262,61 @@
     assert {i.revision.era for i in copy.items.values()} == {2}
 
 
+# Guards against starts that never end beside a store that refuses calls.
+async def test_listing_goes_on_where_it_failed(nursery, autojump_clock):
+    store = fakes.FakeStore()
+    for n in range(20):
+        store.put_value(f'k{n:02}', b'1')
+    store.page_size = 1
+    read_page = store.read_page
+
+    async def read_every_third_page(after):
+        page = await read_page(after)
+        if len(store.calls) % 3:
+            raise errors.StoreUnavailableError('busy')
+        return page
+
+    store.read_page = read_every_third_page
+    copy = mirror.Mirror(lambda key, value: None)
+    tested = follower.Follower(store, copy, null_log.NullLog(), TIMING)
+    nursery.start_soon(tested.run)
+    await trio.sleep(20)
+    # What an earlier page told may be out of date by now.
+    store.remove('k00')
+    store.put_value('k01', b'2')
+    await trio.sleep(40)
+    copy.apply_held_changes(trio.current_time())
+    assert sorted(copy.items) == [f'k{n:02}' for n in range(1, 20)]
+    assert copy.items['k01'].value == b'2'
+    assert copy.is_complete
+
+
+async def test_listing_that_failed_is_dropped_with_its_history(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    for key in 'abc':
+        store.put_value(key, b'1')
+    store.page_size = 2
+    copy = mirror.Mirror(lambda key, value: None)
+    tested = follower.Follower(store, copy, null_log.NullLog(), TIMING)
+    read_page = store.read_page
+
+    async def fail_second_page(after):
+        page = await read_page(after)
+        if store.calls.count('list') == 2:
+            store.remove('a')
+            store.drop_history()
+            raise errors.StoreUnavailableError('busy')
+        return page
+
+    store.read_page = fail_second_page
+    nursery.start_soon(tested.run)
+    await trio.sleep(10)
+    copy.apply_held_changes(trio.current_time())
+    assert sorted(copy.items) == ['b', 'c']
+
+
 async def test_late_reply_of_the_era_before_changes_nothing(
     world, autojump_clock
 ):
