Free the bytes of a call when it ends

An instance that passed on large requests grew by hundreds of megabytes that nothing needed any more, until the machine could end the process.

The timer of a call and the cycle of call, fetch and attempt kept the body, the encoded sends and the reply after the end: for the rest of the timeout, and then until the garbage collector ran, which counts objects and not bytes.

--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -34,6 +34,13 @@
         """Identity of the call as text, for logs."""
         return self.id.decode('latin-1')
 
+    def drop_body(self):
+        """Free the body, as the call has ended.
+
+        Timers and late replies refer to the call for seconds more.
+        """
+        object.__setattr__(self, 'body', b'')
+
 
 class Verdict(enum.Enum):
     """What a target's reply says about the request.
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -147,6 +147,12 @@
         self._set_timer(None)
         self._engine.line(self.service).leave(self)
 
+    def release(self):
+        """Free what only an answer needs, as the call has ended."""
+        self.close()
+        self.reply = None
+        self.call.drop_body()
+
     def cancel(self):
         """Abandon all sends, which stops the targets' work."""
         self.close()
@@ -232,7 +238,8 @@
             self._retry(attempt, now, 'misdirected', was_run=False)
             return
         self._record_failure(attempt, now, verdict.value)
-        if verdict is calls.Verdict.FAILED and self.state is State.RUNNING:
+        is_open = self.state is State.RUNNING and not self._is_closed
+        if verdict is calls.Verdict.FAILED and is_open:
             self.reply = reply
         self.may_have_run = True
         reason = f'status {reply.status}' if reply else verdict.value
@@ -270,10 +277,11 @@
         if self.state is not State.RUNNING:
             # The other replies in the delegate's message were pruned on the
             # assumption that this one is merged, so it replaces the reply.
-            if attempt.is_pruned:
+            if attempt.is_pruned and not self._is_closed:
                 self.reply = reply
             return
-        self.reply = reply
+        if not self._is_closed:
+            self.reply = reply
         self._finish(State.ANSWERED)
 
     def _record_failure(self, attempt, now, reason, has_connected=True):
--- a/savorycross/forward/scatter_gather.py
+++ b/savorycross/forward/scatter_gather.py
@@ -144,6 +144,7 @@
             timer.cancel()
         for fetch in self._fetches:
             fetch.cancel()
+        self._release()
 
     def expire(self):
         """End the call with the parts that have arrived, if they suffice."""
@@ -255,6 +256,11 @@
         for fetch in self._fetches:
             fetch.close()
         self._on_end(reply, outcome)
+        self._release()
+
+    def _release(self):
+        for fetch in self._fetches:
+            fetch.release()
 
     def _stop_waiting(self):
         if self._gather_start is not None:
--- a/savorycross/forward/single_call.py
+++ b/savorycross/forward/single_call.py
@@ -46,6 +46,7 @@
         self._is_over = True
         self._timer.cancel()
         self._fetch.cancel()
+        self._fetch.release()
 
     def expire(self):
         """End the call, as no time is left."""
@@ -96,3 +97,4 @@
     def _end(self, reply, outcome):
         self._is_over = True
         self._on_end(reply, outcome)
+        self._fetch.release()
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -29,7 +29,7 @@
     Exactly one of ``on_reply`` and ``on_lost`` is called, unless the
     connection is closed by its own side.
 
-    :param data: the encoded request.
+    :param data: the encoded request, which is dropped at the end.
     :param is_head: whether the method is HEAD, so that the reply has no body.
     :param on_chunk: called with each chunk of a successful reply as it
         arrives, or None if the body is wanted as a whole.
@@ -98,7 +98,7 @@
 
     def close(self):
         """Close the connection without calling back its exchange."""
-        self._exchange = None
+        self._end_exchange()
         self._scope.cancel()
         if self._transport is not None:
             self._transport.close()
@@ -120,7 +120,7 @@
             self._transport.close()
         self._size.reset()
         self._on_closed(self)
-        exchange, self._exchange = self._exchange, None
+        exchange = self._end_exchange()
         if exchange is None:
             return
         try:
@@ -128,6 +128,13 @@
         except Exception as exc:
             failure.report('end of a target connection', exc)
 
+    def _end_exchange(self):
+        """Return the exchange, which ends, if there is one."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.data = b''
+        return exchange
+
     async def _connect_and_read(self):
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -251,7 +258,7 @@
         if not exchange.accepts(reply):
             self._must_close = True
             return
-        self._exchange = None
+        self._end_exchange()
         self._was_sent = False
         if not self._must_close and not self._transport.has_pending:
             self.idle_since = trio.current_time()
