Keep no received bytes on connections that wait

An instance grew with its idle connections: each to a target kept the body of its last reply until the next one began, and each task that read kept the last 64 KiB it had received until more came.

The parsed body is dropped with its reply, and the received bytes once they are parsed.

--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -118,6 +118,7 @@
     def _end(self, reason):
         if self._transport is not None:
             self._transport.close()
+        self._drop_body()
         self._size.reset()
         self._on_closed(self)
         exchange = self._end_exchange()
@@ -170,6 +171,8 @@
                 return 'bytes without a request'
             self._size.add_received(len(data))
             self._parser.feed_data(data)
+            # It would last until the next bytes arrive.
+            del data
             if self._exchange is not None:
                 self._size.check_received()
             if self._must_close and self._exchange is None:
@@ -184,11 +187,14 @@
 
     def _reset(self):
         self._headers = []
-        self._body = bytearray()
-        self._size.release_body()
+        self._drop_body()
         self._has_head = False
         self._has_length = False
 
+    def _drop_body(self):
+        self._body = bytearray()
+        self._size.release_body()
+
     def on_message_begin(self):
         """Prepare for a reply; called by the parser."""
         if self._exchange is None:
@@ -231,8 +237,7 @@
         if not self._body or self._parser.get_status_code() != 200:
             return
         chunk = bytes(self._body)
-        self._body = bytearray()
-        self._size.release_body()
+        self._drop_body()
         exchange.on_chunk(chunk)
 
     def on_message_complete(self):
@@ -254,7 +259,7 @@
             tuple(self._headers),
             bytes(self._body),
         )
-        self._size.release_body()
+        self._drop_body()
         if not exchange.accepts(reply):
             self._must_close = True
             return
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -112,6 +112,8 @@
                 if not data:
                     return
                 self._feed(data)
+                # It would last until the next bytes arrive.
+                del data
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception as exc:
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -1,5 +1,7 @@
 """Tests of the pool of connections to one address."""
 
+import tracemalloc
+
 import pytest
 import trio
 
@@ -199,3 +201,28 @@
     for _ in range(2):
         assert (await _call(conn_pool)).reply.body == b'ok'
     assert conn_pool.opened_count == 1
+
+
+# Guards against idle connections that each kept the bytes of their last reply.
+async def test_idle_connections_hold_no_bytes(listen, nursery):
+    size = 1_000_000
+    reply = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+    address = await listen(reply + b'x' * size)
+    conn_pool = pool.Pool(address, nursery)
+    conn_pool.limit = 8
+    tracemalloc.start()
+    try:
+        exchanges = [Exchange(b'GET / HTTP/1.1\r\n\r\n') for _ in range(8)]
+        for exchange in exchanges:
+            conn_pool.send(exchange)
+        with trio.fail_after(5):
+            for exchange in exchanges:
+                await exchange.done.wait()
+                assert len(exchange.reply.body) == size
+                exchange.reply = None
+        await trio.testing.wait_all_tasks_blocked()
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert conn_pool.size == 8
+    assert held_bytes < size
