Start a pipelined request when the reply before it is sent

A caller that pipelined requests and read no replies made an instance answer them all and hold the replies; one that sent on while a request was handled made it read and hold all that it sent, up to 32 requests, after which the connection was closed and the request in progress cancelled.

The next request began when the reply before it had been written to a buffer, and reading never paused. Now it begins when the kernel has taken the whole reply, and reading pauses while 64 KiB or 32 requests wait behind a reply. No connection is closed for pipelining any more, which costs such a caller nothing but time. A stop answers requests that wait behind a reply that isn't taken. A connection that is about to close handles nothing more.

--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import socket
+import sys
 import typing
 
 import httptools
@@ -10,6 +11,7 @@
 
 from savorycross.events import failure
 from savorycross.wire import binding
+from savorycross.wire import buffers as buffer_counts
 from savorycross.wire import messages
 from savorycross.wire import transport as transports
 
@@ -18,8 +20,12 @@
 # Time to write the last reply before its connection is closed.
 LINGER_S = 1.0
 LINGER_CHECK_S = 0.01
-# A connection with more pipelined requests than this is closed.
+# Nothing more is read from a connection while so many requests wait there
+# for the reply before them, or so many bytes.
 MAX_QUEUED_REQUESTS = 32
+READ_AHEAD_BYTES = 65536
+# Bytes that are read at once beside a request in progress if memory is short.
+SHORT_READ_BYTES = 4096
 # Limits in force until a configuration sets others.
 MAX_HEADER_BYTES = 16384
 MAX_BODY_BYTES = 1 << 20
@@ -67,6 +73,38 @@
         """
 
 
+class Guard(typing.Protocol):
+    """Keeps the bytes that are held for others within their limit."""
+
+    def relieve(self) -> None:
+        """Free bytes of callers that delay their requests or replies."""
+
+    def make_refusal(self, reason) -> messages.Reply:
+        """Return the reply to a request that has not been handled.
+
+        :param reason: why, by which refusals are counted.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """What is held for a caller that may not come to take or complete it.
+
+    :param connection: its Connection.
+    :param unfinished_bytes: bytes of a request that isn't complete, while no
+        other request of the caller waits or is in progress.
+    :param unfinished_at: runtime clock time in seconds at which it began.
+    :param unsent_bytes: bytes of replies that the caller hasn't taken.
+    :param taken_at: runtime clock time in seconds at which it last took some.
+    """
+
+    connection: object
+    unfinished_bytes: int
+    unfinished_at: float
+    unsent_bytes: int
+    taken_at: float
+
+
 class _LimitError(Exception):
     """A request exceeds a limit; ``status`` is the HTTP status for it."""
 
@@ -78,7 +116,8 @@
 class Connection:
     """One caller's connection, which handles one request at a time.
 
-    Pipelined requests wait until the current one is answered.
+    Pipelined requests wait until the reply to the current one is sent, and
+    little is read ahead of them.
 
     :param transport: connected Transport.
     :param server: the Server that the connection belongs to.
@@ -88,30 +127,47 @@
     def __init__(self, transport, server, now):
         self._transport = transport
         self._server = server
+        self._buffers = server.buffers
         self._parser = httptools.HttpRequestParser(self)
         self._queue = collections.deque()
         self._running = None
         self._current = None
         self._is_reading = False
         self._is_streaming = False
-        self._is_ending = False
+        self._is_closing = False
+        self._is_expired = False
+        self._is_handling = False
+        self._resumed = None
         self._head_bytes = 0
+        # Bytes held for the current request, those that wait for it, and the
+        # one that is being read.
+        self._current_bytes = 0
+        self._queued_bytes = 0
+        self._unfinished_bytes = 0
+        self._unfinished_at = now
         self._last_activity_at = now
         self._reset()
 
     @property
     def is_busy(self):
-        """Whether a request is being read or handled."""
-        return self._current is not None or self._is_reading
+        """Whether a request is being read or handled, or waits for that."""
+        if self._is_closing:
+            return False
+        return (
+            self._current is not None or self._is_reading or bool(self._queue)
+        )
 
     async def run(self):
         """Read and handle requests until the connection ends."""
         try:
             while True:
-                data = await self._transport.read()
+                while self._must_pause():
+                    await self._wait_to_resume()
+                data = await self._transport.read(self._count_allowed)
                 if not data:
                     return
-                self._feed(data)
+                if not self._is_closing:
+                    self._feed(data)
                 # It would last until the next bytes arrive.
                 del data
         except (OSError, trio.ClosedResourceError):
@@ -121,17 +177,71 @@
         finally:
             self._cancel_and_close()
 
+    def _must_pause(self):
+        """Return whether enough was read ahead of the current reply."""
+        ahead_bytes = self._queued_bytes + self._unfinished_bytes
+        if not ahead_bytes:
+            return False
+        if self._current is None and not self._transport.has_pending:
+            return False
+        return (
+            len(self._queue) >= MAX_QUEUED_REQUESTS
+            or ahead_bytes > READ_AHEAD_BYTES
+            or self._buffers.is_exceeded
+        )
+
+    async def _wait_to_resume(self):
+        """Wait for the end of a request, or until the caller has gone."""
+        self._resumed = trio.Event()
+        with trio.move_on_after(TIMEOUT_CHECK_INTERVAL_S):
+            await self._resumed.wait()
+        self._resumed = None
+        if not self._transport.is_open or not self._transport.is_connected:
+            raise trio.ClosedResourceError
+
+    def _count_allowed(self):
+        """Return how many bytes may be read while memory is short."""
+        if self._is_closing:
+            return transports.RECEIVE_BYTES
+        return SHORT_READ_BYTES
+
     @property
     def has_pending(self):
         """Whether a part of a reply is still to be sent."""
         return self._transport.has_pending
 
+    @property
+    def held(self):
+        """What is Held for the caller alone, or None."""
+        unsent_bytes = self._transport.pending_bytes
+        unfinished_bytes = 0 if unsent_bytes else self._unfinished_bytes
+        if self._current is not None:
+            unfinished_bytes = 0
+        if not unfinished_bytes and not unsent_bytes:
+            return None
+        return Held(
+            self,
+            unfinished_bytes,
+            self._unfinished_at,
+            unsent_bytes,
+            self._transport.taken_at,
+        )
+
     def close(self):
         """Close the connection."""
         self._transport.close()
+        self._stop_pausing()
+
+    def refuse_unfinished(self):
+        """Refuse the request that is being read, and close the connection."""
+        reply = self._server.make_refusal('unfinished')
+        self._transport.write(messages.encode_reply(reply, False))
+        self._close_after_flush(ends_writing=True)
 
     def expire(self):
         """Let the requests that were read be answered without delay."""
+        self._is_expired = True
+        self._handle_next()
         while self._running is not None:
             request = self._current
             self._running.expire()
@@ -144,7 +254,7 @@
         The connection stays open while a request is read or handled, or a
         reply is still to be sent.
         """
-        while not self._is_ending and (data := self._transport.read_now()):
+        while not self._is_closing and (data := self._transport.read_now()):
             self._feed(data)
         self.expire()
         if not self.is_busy and not self.has_pending:
@@ -157,7 +267,11 @@
         an idle connection is closed without an answer.
         """
         waited_s = now - self._last_activity_at
-        if self._current is not None:
+        if self._current is not None or self._is_closing:
+            return
+        if self._transport.has_pending:
+            if now - self._transport.taken_at > limits.idle_timeout_s:
+                self.close()
             return
         if self._is_reading:
             if waited_s > limits.header_timeout_s:
@@ -175,6 +289,10 @@
             self._parser.feed_data(data)
             if not self._has_head and self._is_reading:
                 self._check_head_size(self._head_bytes)
+            if self._is_reading:
+                self._count_unfinished()
+                if self._buffers.is_exceeded:
+                    self._refuse_if_exceeded()
         except httptools.HttpParserUpgrade:
             self._reject(400)
         except _LimitError as exc:
@@ -185,6 +303,40 @@
             status = cause.status if isinstance(cause, _LimitError) else 400
             self._reject(status)
 
+    def _refuse_if_exceeded(self):
+        """Refuse what is being read if no bytes can be freed for it."""
+        self._server.relieve()
+        held = self.held
+        if held is None or not held.unfinished_bytes:
+            return
+        if self._buffers.is_exceeded:
+            self.refuse_unfinished()
+
+    def _count_unfinished(self):
+        """Count the bytes of the request that is being read."""
+        size = (
+            buffer_counts.REQUEST_BYTES
+            + max(self._head_bytes, self._header_bytes)
+            + len(self._headers) * buffer_counts.HEADER_BYTES
+            + len(self._target)
+            + len(self._body)
+        )
+        self._buffers.requests += size - self._unfinished_bytes
+        self._unfinished_bytes = size
+
+    def _release(self):
+        """Stop counting the current request."""
+        self._buffers.requests -= self._current_bytes
+        self._current_bytes = 0
+
+    def _release_unhandled(self):
+        """Drop the requests that wait and the one that is being read."""
+        self._queue.clear()
+        self._buffers.requests -= self._queued_bytes + self._unfinished_bytes
+        self._queued_bytes = 0
+        self._unfinished_bytes = 0
+        self._reset()
+
     def _reset(self):
         self._target = b''
         self._headers = []
@@ -201,6 +353,7 @@
         self._reset()
         self._is_reading = True
         self._last_activity_at = trio.current_time()
+        self._unfinished_at = self._last_activity_at
 
     def on_url(self, url):
         """Append a fragment of the request's target; called by the parser."""
@@ -235,28 +388,52 @@
     def on_message_complete(self):
         """Queue the complete request; called by the parser."""
         self._is_reading = False
-        self._queue.append(
-            messages.Request(
-                self._parser.get_method(),
-                self._target,
-                tuple(self._headers),
-                bytes(self._body),
-                self._parser.should_keep_alive(),
-                trio.current_time(),
-            )
+        request = messages.Request(
+            self._parser.get_method(),
+            self._target,
+            tuple(self._headers),
+            bytes(self._body),
+            self._parser.should_keep_alive(),
+            trio.current_time(),
         )
+        self._count_unfinished()
+        size = self._unfinished_bytes
+        self._queue.append((request, size))
+        self._queued_bytes += size
+        self._unfinished_bytes = 0
         self._reset()
-        if len(self._queue) > MAX_QUEUED_REQUESTS:
-            raise _LimitError(429)
         self._handle_next()
 
     def _handle_next(self):
-        if self._current is not None or not self._queue:
+        # A request that is answered at once leads here again.
+        if self._is_handling:
             return
+        self._is_handling = True
+        try:
+            while self._queue and self._may_start:
+                self._start_next()
+        finally:
+            self._is_handling = False
+
+    @property
+    def _may_start(self):
+        """Whether the reply to the request before the next one was sent."""
+        if self._current is not None or self._is_closing:
+            return False
         if not self._transport.is_open:
-            return
-        request = self._queue.popleft()
+            return False
+        return self._is_expired or not self._transport.has_pending
+
+    def _start_next(self):
+        request, size = self._queue.popleft()
+        self._queued_bytes -= size
+        self._current_bytes = size
         self._current = request
+        if self._buffers.is_exceeded and self._server.refuses_new:
+            self._server.relieve()
+            if self._buffers.is_exceeded:
+                self._respond(self._server.make_refusal('new'))
+                return
         running = self._server.handle(request, self._respond)
         # The response may have begun the next request already.
         if self._current is request:
@@ -284,34 +461,67 @@
             )
         self._current = None
         self._running = None
+        self._release()
         self._last_activity_at = trio.current_time()
         if not keep_alive:
             self._close_after_flush()
             return
+        self._resume()
+
+    def _resume(self):
+        """Go on with the next request, if the reply before it was sent."""
         self._handle_next()
+        self._stop_pausing()
 
-    def _close_after_flush(self):
-        self._is_ending = True
-        self._queue.clear()
-        self._server.start_soon(self._linger)
+    def _stop_pausing(self):
+        if self._resumed is not None:
+            self._resumed.set()
+
+    def on_flushed(self):
+        """Go on after a reply that had to wait; called by the transport."""
+        if self._transport.has_failed:
+            self.close()
+            return
+        self._last_activity_at = trio.current_time()
+        self._resume()
+
+    def _close_after_flush(self, ends_writing=False):
+        """Close the connection once its last reply is sent.
+
+        :param ends_writing: whether the caller may be sending, so that it
+            would lose the reply if the connection were closed at once.
+        """
+        self._is_closing = True
+        self._is_reading = False
+        self._release_unhandled()
+        self._stop_pausing()
+        self._server.start_soon(self._linger, ends_writing)
 
-    async def _linger(self):
+    async def _linger(self, ends_writing):
         with trio.move_on_after(LINGER_S):
             while self._transport.has_pending:
                 await trio.sleep(LINGER_CHECK_S)
-        self._transport.close()
+            if ends_writing and self._transport.is_open:
+                self._transport.end_writing()
+                while self._transport.is_open:
+                    await trio.sleep(LINGER_CHECK_S)
+        self.close()
 
     def _reject(self, status):
+        if self._is_closing:
+            return
         if self._current is None and self._transport.is_open:
             reply = messages.Reply(status)
             self._transport.write(messages.encode_reply(reply, False))
         self._server.count_rejected(status)
-        self._transport.close()
+        self.close()
 
     def _cancel_and_close(self):
         running, self._running = self._running, None
         self._current = None
-        self._transport.close()
+        self._release()
+        self._release_unhandled()
+        self.close()
         if running is not None:
             running.cancel()
 
@@ -320,21 +530,31 @@
     """A server that listens on an address and passes requests to a handler.
 
     ``is_stopping`` makes each connection close after its next reply;
-    ``is_listening`` tells whether ``run`` has come to listen.
+    ``is_listening`` tells whether ``run`` has come to listen, and
+    ``refuses_new`` whether complete requests are refused while the limit of
+    the buffers is exceeded.
 
     :param handle: a Handler.
     :param nursery: nursery for the tasks of the connections.
     :param on_rejected: called with the HTTP status of each request that is
         rejected before it is handled.
+    :param buffers: Buffers of all connections of the process, or None for
+        some of its own.
+    :param guard: Guard of these, or None.
     """
 
-    def __init__(self, handle, nursery, on_rejected=None):
+    def __init__(
+        self, handle, nursery, on_rejected=None, buffers=None, guard=None
+    ):
         self.handle = handle
+        self.buffers = buffers or buffer_counts.Buffers(sys.maxsize)
         self.limits = Limits()
         self.is_stopping = False
         self.is_listening = False
+        self.refuses_new = True
         self._nursery = nursery
         self._on_rejected = on_rejected
+        self._guard = guard
         self._connections = set()
         self._listener = None
 
@@ -372,6 +592,22 @@
         for connection in list(self._connections):
             connection.finish()
 
+    def relieve(self):
+        """Free bytes, as the limit is exceeded; see ``Guard``."""
+        if self._guard is not None:
+            self._guard.relieve()
+
+    def make_refusal(self, reason):
+        """Return the reply to a request that isn't handled; see ``Guard``."""
+        if self._guard is not None:
+            return self._guard.make_refusal(reason)
+        return messages.Reply(503)
+
+    def list_held(self):
+        """Return what is Held for each caller alone."""
+        held = [connection.held for connection in self._connections]
+        return [h for h in held if h is not None]
+
     def count_rejected(self, status):
         """Report a request that was rejected before it was handled."""
         if self._on_rejected is not None:
@@ -415,11 +651,9 @@
 
     def serve_socket(self, sock):
         """Serve a connected standard library socket."""
-        connection = Connection(
-            transports.Transport(sock, self._nursery),
-            self,
-            trio.current_time(),
-        )
+        transport = transports.Transport(sock, self._nursery, self.buffers)
+        connection = Connection(transport, self, trio.current_time())
+        transport.on_flushed = connection.on_flushed
         self._connections.add(connection)
         self._nursery.start_soon(self._run, connection)
 
--- a/tests/wire/test_endless_replies.py
+++ b/tests/wire/test_endless_replies.py
@@ -177,6 +177,7 @@
     """A transport of a connection that is open."""
 
     is_open = True
+    has_pending = False
 
 
 async def test_endless_trailers_of_a_caller_are_rejected(nursery):
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -348,3 +348,88 @@
         harness.server.expire_requests()
         failing_handler.respond_callbacks[0](messages.Reply(200))
     assert harness.handler.expired == 1
+
+
+def _unread_stream_body():
+    """Return a body that no buffers of a connection on loopback hold."""
+    return b'x' * 12_000_000
+
+
+# Guards against replies that pile up for a caller that reads none of them.
+async def test_next_request_waits_until_the_reply_before_it_is_sent(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    body = _unread_stream_body()
+    harness.handler.respond_callbacks[0](messages.Reply(200, (), body))
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(harness.handler.requests) == 1
+    unread = len(body)
+    while unread > 0:
+        unread -= len(await harness.read())
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(harness.handler.requests) == 2
+
+
+async def test_requests_behind_an_unread_reply_are_answered_at_a_stop(
+    harness,
+):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    body = _unread_stream_body()
+    harness.handler.respond_callbacks[0](messages.Reply(200, (), body))
+    assert harness.server.busy == 1
+    harness.server.is_stopping = True
+    harness.server.expire_requests()
+    assert (await harness.read_all()).count(b'HTTP/1.1 504 ') == 1
+
+
+# Guards against requests without number that are read while one is handled.
+async def test_little_is_read_ahead_and_all_of_it_is_answered(harness):
+    harness.handler.answers_at_once = False
+    count = 4000
+    request = GET.replace(b'X: y', b'X: ' + b'y' * 4000)
+
+    async def send():
+        await harness.stream.send_all(count * request)
+
+    harness.nursery.start_soon(send)
+    await trio.sleep(0.1)
+    (connection,) = harness.server._connections
+    most = server.READ_AHEAD_BYTES + server.transports.RECEIVE_BYTES
+    assert len(connection._queue) * len(request) <= most
+    assert harness.server.buffers.requests <= 2 * most
+    harness.handler.answers_at_once = True
+    harness.handler.respond_callbacks[0](messages.Reply(200))
+    replies = 0
+    with trio.fail_after(20):
+        while replies < count:
+            replies += (await harness.read()).count(b'HTTP/1.1 200 ')
+    assert len(harness.handler.requests) == count
+    assert harness.server.buffers.count == 0
+
+
+async def test_disconnect_is_noticed_while_nothing_more_is_read(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + 40 * GET)
+    await trio.sleep(0.05)
+    (connection,) = harness.server._connections
+    assert connection._must_pause()
+    await harness.stream.aclose()
+    await trio.sleep(2 * server.TIMEOUT_CHECK_INTERVAL_S)
+    assert harness.handler.cancelled == 1
+    assert harness.server.buffers.count == 0
+
+
+async def test_bytes_of_a_caller_that_left_are_not_counted(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    body = _unread_stream_body()
+    harness.handler.respond_callbacks[0](messages.Reply(200, (), body))
+    assert harness.server.buffers.unsent > 0
+    await harness.stream.aclose()
+    await trio.sleep(2 * server.TIMEOUT_CHECK_INTERVAL_S)
+    assert harness.server.buffers.count == 0
+    assert len(harness.handler.requests) == 1
