Bound what an instance holds for others by its memory

An instance grew with what callers sent slowly or did not read, and with replies that targets sent at once, beyond the memory of its machine, which then ends the process and with it the requests of all callers. Nothing read the memory of the machine from the settings; replies being received had a bound of their own, requests, sends, parts of gathers and unsent bytes had none.

All connections of an instance now share one count by holder, whose limit is a quarter of limits.memory_mb; the rest is for the interpreter, some 6 KB for each connection, and copies in passing. Headers count with what their objects take: many small ones take thirty times their bytes. Near the limit replies are received one after the other. Beyond it, a decision without input or output refuses requests that have been incomplete for longest, then closes callers that take nothing for 2 s, down to 0.8 of the limit; new requests are refused with Retry-After before anything runs. Requests in progress stay. The servers that tell of the instance go on answering.

A body of a reply that had to stay below 256 KiB beyond the old bound may now wait instead of failing; the test of that bound keeps its figure.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -14,6 +14,7 @@
 from savorycross.overload import share_views
 from savorycross.overload import shares as limit_shares
 from savorycross.overload import waiting_line
+from savorycross.wire import buffers
 
 MAX_ROUTE_LATENCIES = 2000
 # How often waiting sends are tried again without an event that gives room.
@@ -29,6 +30,8 @@
 class Engine:
     """Targets, budgets and latencies on which calls base their decisions.
 
+    ``buffers`` are the Buffers that count replies until their call ends.
+
     :param settings: InstanceSettings.
     :param dialect: Dialect.
     :param target_registry: TargetRegistry.
@@ -61,6 +64,7 @@
         self.log = log
         self.metrics = metrics
         self.rates = rates
+        self.buffers = buffers.Buffers()
         rates.subscribe(self.wake_line)
         self._now = now
         self._settings = settings
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -68,6 +68,7 @@
         '_count_needed',
         '_in_flight',
         '_is_closed',
+        '_held_bytes',
         '_lacks_budget',
         '_on_done',
         '_route_latency',
@@ -118,6 +119,7 @@
         self._on_done = on_done
         self._route_latency = engine.route_latency(route)
         self._count_needed = count_needed
+        self._held_bytes = 0
         self._is_closed = False
         self._lacks_budget = False
         self._batcher = batcher
@@ -150,9 +152,16 @@
     def release(self):
         """Free what only an answer needs, as the call has ended."""
         self.close()
-        self.reply = None
+        self._hold_reply(None)
         self.call.drop_body()
 
+    def _hold_reply(self, reply):
+        """Replace the reply, whose bytes count until the call ends."""
+        held_bytes = len(reply.body) if reply is not None else 0
+        self._engine.buffers.replies += held_bytes - self._held_bytes
+        self._held_bytes = held_bytes
+        self.reply = reply
+
     def cancel(self):
         """Abandon all sends, which stops the targets' work."""
         self.close()
@@ -240,7 +249,7 @@
         self._record_failure(attempt, now, verdict.value)
         is_open = self.state is State.RUNNING and not self._is_closed
         if verdict is calls.Verdict.FAILED and is_open:
-            self.reply = reply
+            self._hold_reply(reply)
         self.may_have_run = True
         reason = f'status {reply.status}' if reply else verdict.value
         self._retry(attempt, now, reason, was_run=True)
@@ -278,10 +287,10 @@
             # The other replies in the delegate's message were pruned on the
             # assumption that this one is merged, so it replaces the reply.
             if attempt.is_pruned and not self._is_closed:
-                self.reply = reply
+                self._hold_reply(reply)
             return
         if not self._is_closed:
-            self.reply = reply
+            self._hold_reply(reply)
         self._finish(State.ANSWERED)
 
     def _record_failure(self, attempt, now, reason, has_connected=True):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -24,6 +24,7 @@
 from savorycross.forward import picker
 from savorycross.forward import target_registry as target_registries
 from savorycross.gateway import gateway as gateways
+from savorycross.gateway import memory_guard
 from savorycross.gateway import store_changes
 from savorycross.gateway import supervisor
 from savorycross.metrics import loop_load
@@ -32,6 +33,7 @@
 from savorycross.overload import caller_subset
 from savorycross.rate import target_rates
 from savorycross.rate import transport as rate_transports
+from savorycross.wire import buffers
 from savorycross.wire import messages
 from savorycross.wire import pool
 from savorycross.wire import reply_size
@@ -75,7 +77,7 @@
         self._nursery = supervisor.GuardedNursery(nursery, self.metrics)
         self._rng = random.Random()
         self._timers = timers_module.Timers()
-        self._buffered = reply_size.BufferedBytes()
+        self._make_buffers()
         self._make_peers()
         self._make_forwarding()
         self._make_discovery()
@@ -84,6 +86,16 @@
         self._is_stopping = False
         self._is_synced = False
 
+    def _make_buffers(self):
+        self._buffers = buffers.Buffers(spare_bytes=reply_size.MAX_BODY_BYTES)
+        self._memory_guard = memory_guard.MemoryGuard(
+            self._buffers,
+            self._adapter.make_dialect().make_refusal,
+            self.log,
+            self.metrics,
+        )
+        self._memory_guard.set_memory(self._settings.memory_bytes)
+
     def _make_peers(self):
         settings = self._settings
         self._own_peer = heartbeat.Peer(
@@ -125,6 +137,7 @@
             self.metrics,
             self._rates,
         )
+        self._engine.buffers = self._buffers
         self._gateway = gateways.Gateway(self._engine)
 
     def _make_rates(self):
@@ -150,7 +163,7 @@
         return (host, self._settings.rate_address[1]) if host else None
 
     def _make_pool(self, address):
-        return pool.Pool(address, self._nursery, self._buffered)
+        return pool.Pool(address, self._nursery, self._buffers)
 
     def _make_discovery(self):
         self._store_changes = store_changes.StoreChangeHandler(
@@ -237,9 +250,23 @@
             settings.metrics_address: self._serve_metrics,
         }
         self._servers = {
-            address: server.Server(handle, self._nursery, self._count_rejected)
+            address: server.Server(
+                handle,
+                self._nursery,
+                self._count_rejected,
+                self._buffers,
+                self._memory_guard,
+            )
             for address, handle in handlers.items()
         }
+        self._memory_guard.servers = tuple(self._servers.values())
+        # What tells of the instance answers in any state.
+        for address in (
+            settings.ready_address,
+            settings.directory_address,
+            settings.metrics_address,
+        ):
+            self._servers[address].refuses_new = False
         self._caller_server = self._servers[settings.caller_address]
         self._peer_server = self._servers[settings.peer_address]
 
@@ -356,6 +383,7 @@
             self._engine.prune(now)
             self._mirror.apply_held_changes(now)
             self._loop_load.sample(now)
+            self._memory_guard.check()
             self._update_readiness()
             self._update_shares()
             total_s = _read_suspended_s()
@@ -383,7 +411,9 @@
         gauge('targets_cold', sum(s.is_cold(now) for s in states))
         gauge('targets_limited', sum(s.rate.is_limited for s in states))
         gauge('target_connections', sum(s.pool.size for s in states))
-        gauge('reply_bytes_buffered', self._buffered.count)
+        for holder, count in self._buffers.by_holder().items():
+            gauge('buffered_bytes', count, holder=holder)
+        gauge('buffer_limit_bytes', self._buffers.limit_bytes)
         gauge('budgets_spent', self._engine.count_exhausted_budgets(now))
         gauge('waiting', self._engine.count_waiting())
         gauge('delegates', self._engine.delegates.count(now))
@@ -425,6 +455,7 @@
             return
         self._settings = settings
         self._engine.update_settings(settings)
+        self._memory_guard.set_memory(settings.memory_bytes)
         self.log.event('settings.changed')
 
     async def _stop(self):
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -10,6 +10,7 @@
 from savorycross import host_port
 
 PATH_VARIABLE = 'SAVORYCROSS_SETTINGS'
+BYTES_PER_MB = 1_000_000
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -33,6 +34,11 @@
     directory: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 class _Platform(msgspec.Struct, frozen=True):
     addr: str
 
@@ -46,6 +52,7 @@
     internal_ports: tuple[int, int]
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
 
@@ -73,6 +80,10 @@
 
 def _to_instance_settings(document, metrics_port):
     bounds = document.bounds
+    limits = document.limits
+    memory_bytes = instance_settings.MEMORY_BYTES
+    if limits.memory_mb:
+        memory_bytes = int(limits.memory_mb * BYTES_PER_MB)
     return instance_settings.InstanceSettings(
         name=document.node,
         data_centre=document.zone,
@@ -100,6 +111,8 @@
         cold_send_limits=instance_settings.ColdSendLimits(
             bounds.cold_overage, bounds.cold_slack
         ),
+        memory_bytes=memory_bytes,
+        max_descriptors=limits.max_fds or instance_settings.MAX_DESCRIPTORS,
     )
 
 
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -66,10 +66,10 @@
     :param nursery: nursery for the connection's tasks.
     :param on_idle: called with the connection when it can be reused.
     :param on_closed: called with the connection when it has ended.
-    :param buffered: BufferedBytes of all connections.
+    :param buffers: Buffers of all connections.
     """
 
-    def __init__(self, address, nursery, on_idle, on_closed, buffered):
+    def __init__(self, address, nursery, on_idle, on_closed, buffers):
         self.address = address
         self.idle_since = math.inf
         self.idle_until = math.inf
@@ -82,7 +82,9 @@
         self._must_close = False
         self._scope = trio.CancelScope()
         self._parser = httptools.HttpResponseParser(self)
-        self._size = reply_size.ReplySize(buffered)
+        self._size = reply_size.ReplySize(buffers)
+        self._buffers = buffers
+        self._sent_bytes = 0
         self._reset()
 
     @property
@@ -93,6 +95,8 @@
     def start(self, exchange):
         """Send the request of an exchange once the connection is made."""
         self._exchange = exchange
+        self._sent_bytes = len(exchange.data)
+        self._buffers.sends += self._sent_bytes
         if self._transport is not None:
             self._send()
 
@@ -132,6 +136,8 @@
     def _end_exchange(self):
         """Return the exchange, which ends, if there is one."""
         exchange, self._exchange = self._exchange, None
+        self._buffers.sends -= self._sent_bytes
+        self._sent_bytes = 0
         if exchange is not None:
             exchange.data = b''
         return exchange
@@ -140,7 +146,7 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 self._transport = await transports.connect(
-                    self.address, self._nursery
+                    self.address, self._nursery, self._buffers
                 )
         except trio.TooSlowError:
             return 'connect timeout'
@@ -164,7 +170,7 @@
 
     async def _read(self):
         while True:
-            data = await self._transport.read()
+            data = await self._transport.read(self._count_allowed)
             if not data:
                 return self._finish()
             if self._exchange is None:
@@ -178,6 +184,12 @@
             if self._must_close and self._exchange is None:
                 return 'spent'
 
+    def _count_allowed(self):
+        """Return how many bytes may be read while memory is short."""
+        if self._exchange is not None and self._size.must_wait:
+            return 0
+        return transports.RECEIVE_BYTES
+
     def _finish(self):
         """Complete a reply whose end is the end of its connection."""
         if self._has_head and not self._has_length:
--- a/savorycross/wire/pool.py
+++ b/savorycross/wire/pool.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from savorycross.wire import buffers as buffer_counts
 from savorycross.wire import outbound
-from savorycross.wire import reply_size
 
 
 class Pool:
@@ -13,16 +13,16 @@
 
     :param address: host and port.
     :param nursery: nursery for the tasks of the connections.
-    :param buffered: BufferedBytes that the pools of an instance share, or
-        None for a pool of its own bound.
+    :param buffers: Buffers that the pools of an instance share, or None for
+        a pool of its own bound.
     """
 
-    def __init__(self, address, nursery, buffered=None):
+    def __init__(self, address, nursery, buffers=None):
         self.address = address
         self.limit = 1
         self.opened_count = 0
         self._nursery = nursery
-        self._buffered = buffered or reply_size.BufferedBytes()
+        self._buffers = buffers or buffer_counts.Buffers()
         self._idle = []
         self._connections = set()
 
@@ -100,7 +100,7 @@
             self._nursery,
             self._on_idle,
             self._on_closed,
-            self._buffered,
+            self._buffers,
         )
         self._connections.add(conn)
         self.opened_count += 1
--- a/savorycross/wire/reply_size.py
+++ b/savorycross/wire/reply_size.py
@@ -10,25 +10,6 @@
 # Largest number of bytes on the wire for each byte of a body; a body in
 # chunks of a single byte takes 6.
 MAX_WIRE_FACTOR = 8
-# Bytes of all bodies together that an instance buffers.
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-# A body up to this size is buffered even if that bound is exceeded.
-MIN_BODY_BYTES = 256 * 1024
-
-
-class BufferedBytes:
-    """Counts the bytes of all bodies that are being received.
-
-    ``count`` is their number.
-    """
-
-    def __init__(self):
-        self.count = 0
-
-    @property
-    def is_exceeded(self):
-        """Whether the bodies together exceed their bound."""
-        return self.count > MAX_BUFFERED_BYTES
 
 
 class ReplySize:
@@ -37,11 +18,11 @@
     The methods that count raise ``httptools.HttpParserError`` once a bound
     is exceeded, as for a reply that breaks the protocol.
 
-    :param buffered: BufferedBytes of all connections.
+    :param buffers: Buffers of all connections.
     """
 
-    def __init__(self, buffered):
-        self._buffered = buffered
+    def __init__(self, buffers):
+        self._buffers = buffers
         self._wire_bytes = 0
         self._head_bytes = 0
         self._body_bytes = 0
@@ -71,17 +52,22 @@
         """Count bytes of the body that are buffered."""
         self._body_bytes += n
         self._held_bytes += n
-        self._buffered.count += n
-        limit = MAX_BODY_BYTES
-        if self._buffered.is_exceeded:
-            limit = MIN_BODY_BYTES
-        if self._held_bytes > limit:
+        self._buffers.replies += n
+        self._buffers.start_receiving(self)
+        if self._held_bytes > MAX_BODY_BYTES:
             raise httptools.HttpParserError('reply is too long')
 
+    @property
+    def must_wait(self):
+        """Whether the reply has to wait while memory is short."""
+        return self._buffers.must_wait(self)
+
     def release_body(self):
         """Stop counting the buffered bytes, as they were passed on."""
-        self._buffered.count -= self._held_bytes
-        self._held_bytes = 0
+        if self._held_bytes:
+            self._buffers.replies -= self._held_bytes
+            self._buffers.end_receiving(self)
+            self._held_bytes = 0
 
     def reset(self):
         """Prepare for the replies to the next request."""
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -406,7 +406,7 @@
 
     def _handle_next(self):
         # A request that is answered at once leads here again.
-        if self._is_handling:
+        if self._is_handling or not self._queue:
             return
         self._is_handling = True
         try:
--- a/soak/process.py
+++ b/soak/process.py
@@ -17,6 +17,8 @@
     'control': 18083,
 }
 INTERNAL_PORTS = (18090, 18099)
+# Memory of the machine that the settings tell.
+MEMORY_MB = 430
 METRICS_PORT = 18100
 GRACE_S = 6
 # Parts of log lines that report an error in the program.
@@ -37,6 +39,9 @@
 retry_ratio = 0.2
 retry_window_s = 10
 retry_slack = 200
+[limits]
+memory_mb = {memory_mb}
+max_fds = 4096
 [platform]
 addr = "{store}"
 """
@@ -58,6 +63,7 @@
         self.store_proxy = store_proxy
         self.incarnation = 0
         self.is_stopping = False
+        self.memory_mb = MEMORY_MB
         self._seeds = seeds
         self._folder = folder
         self._log_path = folder / f'{name}.log'
@@ -85,7 +91,7 @@
     def peak_memory_mb(self):
         """Largest resident memory of the running process."""
         status = self._read_status()
-        return int(status.get('VmHWM', '0').split()[0]) / 1024
+        return int(status.get('VmHWM', '0').split()[0]) / 1000
 
     @property
     def runs_program(self):
@@ -160,6 +166,7 @@
             listen='\n'.join(
                 f'{use} = "{self.ip}:{port}"' for use, port in PORTS.items()
             ),
+            memory_mb=self.memory_mb,
             store=f'{host}:{port}',
         )
         if how == 'changed':
--- a/tests/forward/test_scatter_gather.py
+++ b/tests/forward/test_scatter_gather.py
@@ -229,3 +229,14 @@
     exchange = run.exchanges('s3')[0]
     exchange.on_reply(fake_engine.reply(stamp=b's3'))
     assert exchange.state.relative_latency(run.engine.time) > 2.0
+
+
+# Guards against parts that no bound on the memory took into account.
+def test_parts_count_as_held_until_the_call_ends():
+    run = Run()
+    for name in ('s1', 's2', 's3'):
+        run.answer(name, body=b'a' * 160)
+    assert run.engine.buffers.replies == 3 * 160
+    run.answer('s4', body=b'a' * 160)
+    assert run.ends
+    assert run.engine.buffers.count == 0
--- a/tests/forward/test_single_call.py
+++ b/tests/forward/test_single_call.py
@@ -59,3 +59,4 @@
     assert replies[0].body
     assert not call.body
     assert single._fetch.reply is None
+    assert engine.buffers.count == 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -60,6 +60,7 @@
         ('front = "10.1.0.39:8226"', '', 'front'),
         ('grace_s = 6', 'grace_s = "long"', 'grace_s'),
         ('10.200.1.7:8229', '10.200.1.7', '10.200.1.7'),
+        ('[platform]', '[limits]\nmemory_mb = "x"\n[platform]', 'memory_mb'),
     ],
 )
 def test_error_names_the_field(tmp_path, old, new, reported):
@@ -67,6 +68,14 @@
         _read(tmp_path, FILE.replace(old, new))
 
 
+def test_memory_and_descriptors_of_the_machine_are_read(tmp_path):
+    limits = '\n[limits]\nmemory_mb = 430\nmax_fds = 6150\n'
+    instance_settings = _read(tmp_path, FILE + limits)
+    assert instance_settings.memory_bytes == 430_000_000
+    assert instance_settings.max_descriptors == 6150
+    assert _read(tmp_path, FILE).memory_bytes > 0
+
+
 def test_missing_file_is_reported(tmp_path):
     with pytest.raises(errors.SettingsError, match='absent'):
         settings.read_settings(9464, str(tmp_path / 'absent'))
--- a/tests/wire/test_endless_replies.py
+++ b/tests/wire/test_endless_replies.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from savorycross.wire import buffers
 from savorycross.wire import pool
 from savorycross.wire import reply_size
 from savorycross.wire import server
@@ -32,6 +33,7 @@
 }
 # Bytes that a peer may send before its connection is closed.
 MAX_SENT_BYTES = 2 * reply_size.MAX_BODY_BYTES
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
 
 @pytest.fixture
@@ -83,7 +85,9 @@
 
 
 async def test_many_endless_bodies_share_one_bound(flood, nursery):
-    buffered = reply_size.BufferedBytes()
+    buffered = buffers.Buffers(
+        MAX_BUFFERED_BYTES, spare_bytes=reply_size.MAX_BODY_BYTES
+    )
     pools = []
     for _ in range(8):
         address, _ = await flood(*ENDLESS['a body until close'])
@@ -103,8 +107,8 @@
         for exchange in exchanges:
             await exchange.done.wait()
     assert all(e.lost for e in exchanges)
-    spare = len(pools) * reply_size.MIN_BODY_BYTES
-    assert max(peaks) <= reply_size.MAX_BUFFERED_BYTES + spare
+    spare = len(pools) * transport.RECEIVE_BYTES
+    assert max(peaks) <= MAX_BUFFERED_BYTES + spare
     assert buffered.count == 0
 
 
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from savorycross.wire import buffers
 from savorycross.wire import pool
 
 
@@ -208,13 +209,15 @@
     size = 1_000_000
     reply = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
     address = await listen(reply + b'x' * size)
-    conn_pool = pool.Pool(address, nursery)
+    counts = buffers.Buffers()
+    conn_pool = pool.Pool(address, nursery, counts)
     conn_pool.limit = 8
     tracemalloc.start()
     try:
         exchanges = [Exchange(b'GET / HTTP/1.1\r\n\r\n') for _ in range(8)]
         for exchange in exchanges:
             conn_pool.send(exchange)
+        assert counts.sends == sum(len(e.data) for e in exchanges)
         with trio.fail_after(5):
             for exchange in exchanges:
                 await exchange.done.wait()
@@ -225,4 +228,33 @@
     finally:
         tracemalloc.stop()
     assert conn_pool.size == 8
+    assert counts.count == 0
     assert held_bytes < size
+
+
+async def test_replies_are_received_in_turn_while_memory_is_short(
+    listen, nursery
+):
+    size = 1_000_000
+    reply = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+    address = await listen(reply + b'x' * size)
+    counts = buffers.Buffers(limit_bytes=size, spare_bytes=size)
+    conn_pool = pool.Pool(address, nursery, counts)
+    conn_pool.limit = 8
+    counts.requests = size
+    exchanges = [Exchange() for _ in range(8)]
+    peaks = []
+
+    async def watch():
+        while True:
+            peaks.append(counts.replies)
+            await trio.sleep(0)
+
+    nursery.start_soon(watch)
+    for exchange in exchanges:
+        conn_pool.send(exchange)
+    with trio.fail_after(10):
+        for exchange in exchanges:
+            await exchange.done.wait()
+    assert all(e.reply for e in exchanges)
+    assert max(peaks) <= size
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -422,6 +422,89 @@
     assert harness.server.buffers.count == 0
 
 
+class FakeGuard:
+    """A guard that counts refusals and frees nothing."""
+
+    def __init__(self):
+        self.reasons = []
+
+    def relieve(self):
+        """Free nothing."""
+
+    def make_refusal(self, reason):
+        """Record the reason."""
+        self.reasons.append(reason)
+        return messages.Reply(503, ((b'Retry-After', b'1'),))
+
+
+@pytest.fixture
+def guard(harness):
+    harness.server._guard = FakeGuard()
+    return harness.server._guard
+
+
+# Guards against bodies that many callers leave incomplete.
+async def test_incomplete_request_is_refused_once_memory_is_short(
+    harness, guard
+):
+    harness.server.buffers.set_limit(100_000)
+    await harness.stream.send_all(
+        b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n'
+        + b'x' * 200_000
+    )
+    data = await harness.read_all()
+    assert data.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: 1\r\n' in data
+    assert b'Connection: close' in data
+    assert guard.reasons == ['unfinished']
+    assert not harness.handler.requests
+    assert harness.server.buffers.count == 0
+
+
+async def test_new_request_is_refused_unhandled_while_memory_is_short(
+    harness, guard
+):
+    harness.server.buffers.sends = harness.server.buffers.limit_bytes
+    await harness.stream.send_all(GET)
+    assert (await harness.read()).startswith(b'HTTP/1.1 503 ')
+    assert guard.reasons == ['new']
+    harness.server.buffers.sends = 0
+    await harness.stream.send_all(GET)
+    assert (await harness.read()).startswith(b'HTTP/1.1 200 ')
+    assert len(harness.handler.requests) == 1
+
+
+# Guards against small headers that take many times their bytes.
+async def test_incomplete_head_of_many_small_headers_is_refused(
+    harness, guard
+):
+    harness.server.buffers.set_limit(100_000)
+    await harness.stream.send_all(b'GET / HTTP/1.1\r\n' + b'a:\r\n' * 1000)
+    assert (await harness.read_all()).startswith(b'HTTP/1.1 503 ')
+    assert guard.reasons == ['unfinished']
+
+
+async def test_server_that_tells_of_the_instance_answers_in_any_state(
+    harness, guard
+):
+    harness.server.refuses_new = False
+    harness.server.buffers.sends = 2 * harness.server.buffers.limit_bytes
+    await harness.stream.send_all(GET)
+    assert (await harness.read()).startswith(b'HTTP/1.1 200 ')
+
+
+async def test_request_in_progress_is_answered_while_memory_is_short(
+    harness, guard
+):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET)
+    await trio.testing.wait_all_tasks_blocked()
+    harness.server.buffers.sends = harness.server.buffers.limit_bytes
+    harness.handler.respond_callbacks[0](messages.Reply(200))
+    assert (await harness.read()).startswith(b'HTTP/1.1 200 ')
+    assert not guard.reasons
+
+
 async def test_bytes_of_a_caller_that_left_are_not_counted(harness):
     harness.handler.answers_at_once = False
     await harness.stream.send_all(GET + GET)
