--- a/soak/faults.py
+++ b/soak/faults.py
@@ -158,10 +158,11 @@
 
     async def _lose_all(self):
         """Kill all at once, and start all at once beside reloads."""
-        instances = [i for i in self._testbed.instances if not i.is_stopping]
         if self._rng.random() < 0.5:
-            for instance in instances:
+            for instance in self._testbed.instances:
                 await self._reload(instance)
+        # Others are started again by the fault that ended them.
+        instances = [i for i in self._testbed.instances if not i.is_stopping]
         for instance in instances:
             instance.is_stopping = True
             instance.kill()
