--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -198,6 +198,7 @@
             seeds='',
             bootstrap='true',
             grace_s=process_settings.GRACE_S,
+            memory_mb=process_settings.MEMORY_MB,
             listen='front = "127.9.37.1:18080"\n'
             'ready = "127.9.37.1:18081"\n'
             'directory = "127.9.37.1:18082"\n',
