Take a memory size of 0, less, or none as not stated

Memory of inf or nan in the settings raised an error that is none of the settings, at the start or in a reload; a negative one let the instance refuse everything. The number of descriptors was read and used nowhere; it is no longer read.

--- a/savorycross/gateway/instance_settings.py
+++ b/savorycross/gateway/instance_settings.py
@@ -5,9 +5,8 @@
 # Time for which callers keep the directory answer. It is short so that they
 # soon stop to use an instance that has ended.
 DIRECTORY_TTL_S = 1.0
-# Assumed if the platform does not tell them.
+# Assumed if the platform does not tell it.
 MEMORY_BYTES = 256_000_000
-MAX_DESCRIPTORS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +64,6 @@
     :param extra_send_limits: limits of retries and hedges.
     :param cold_send_limits: limits of sends to cold targets.
     :param memory_bytes: memory above which the machine ends the process.
-    :param max_descriptors: number of descriptors that the process may have.
     """
 
     name: str
@@ -88,7 +86,6 @@
     extra_send_limits: ExtraSendLimits
     cold_send_limits: ColdSendLimits
     memory_bytes: int = MEMORY_BYTES
-    max_descriptors: int = MAX_DESCRIPTORS
 
     @property
     def change_deadline_s(self):
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads an instance's settings from the platform's settings file."""
 
+import math
 import os
 import tomllib
 
@@ -36,7 +37,6 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     memory_mb: float | None = None
-    max_fds: int | None = None
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -82,7 +82,7 @@
     bounds = document.bounds
     limits = document.limits
     memory_bytes = instance_settings.MEMORY_BYTES
-    if limits.memory_mb:
+    if limits.memory_mb is not None and 0 < limits.memory_mb < math.inf:
         memory_bytes = int(limits.memory_mb * BYTES_PER_MB)
     return instance_settings.InstanceSettings(
         name=document.node,
@@ -112,7 +112,6 @@
             bounds.cold_overage, bounds.cold_slack
         ),
         memory_bytes=memory_bytes,
-        max_descriptors=limits.max_fds or instance_settings.MAX_DESCRIPTORS,
     )
 
 
--- a/soak/process.py
+++ b/soak/process.py
@@ -41,7 +41,6 @@
 retry_slack = 200
 [limits]
 memory_mb = {memory_mb}
-max_fds = 4096
 [platform]
 addr = "{store}"
 """
