Keep callers whose socket does not tell its state

The state of a connection was read while its reading paused; where the system does not offer it, the error closed the connection and cancelled the request in progress. Found by reading; the test with a socket that has none fails on the code before.

--- a/savorycross/wire/transport.py
+++ b/savorycross/wire/transport.py
@@ -55,8 +55,16 @@
 
     @property
     def is_connected(self):
-        """Whether the peer may still send, even if nothing is read."""
-        info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        """Whether the peer may still send, even if nothing is read.
+
+        True where the system does not tell.
+        """
+        try:
+            info = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )
+        except OSError:
+            return True
         return info[_TCP_STATE_BYTE] == _TCP_ESTABLISHED
 
     @property
--- a/tests/wire/test_transport.py
+++ b/tests/wire/test_transport.py
@@ -20,6 +20,17 @@
         return super().send(data)
 
 
+# Guards against callers that are cut off while their requests wait.
+async def test_socket_that_does_not_tell_its_state_counts_as_connected(
+    nursery,
+):
+    ours, theirs = socket.socketpair()
+    with theirs:
+        transport = transports.Transport(ours, nursery)
+        assert transport.is_connected
+        transport.close()
+
+
 # Guards against streams with a gap, and bytes that never arrive.
 async def test_socket_that_is_not_writable_after_all_loses_no_bytes(nursery):
     ours, theirs = socket.socketpair()
