Go on with a stop when a request fails as it is finished

Callers whose requests an instance had to answer at its stop lost them all if one of them failed: the stop ended there, and the process with status 1.

The stop calls Server.finish since it answers what waits in sockets; the guard of Server.expire_requests did not move there. Each connection is contained now. The test failed before with the exception out of finish.

--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -590,7 +590,8 @@
             trio.lowlevel.notify_closing(self._listener)
             self._listener.close()
         for connection in list(self._connections):
-            connection.finish()
+            with failure.contained('finish of a connection'):
+                connection.finish()
 
     def relieve(self):
         """Free bytes, as the limit is exceeded; see ``Guard``."""
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -516,3 +516,25 @@
     await trio.sleep(2 * server.TIMEOUT_CHECK_INTERVAL_S)
     assert harness.server.buffers.count == 0
     assert len(harness.handler.requests) == 1
+
+
+# Guards against a stop that ends the process as one of its requests fails.
+async def test_request_that_fails_to_expire_does_not_keep_others_from_finish(
+    harness,
+):
+    harness.handler.answers_at_once = False
+    failing_handler = FailingHandler()
+    pairs = [socket.socketpair() for _ in range(3)]
+    harness.server.handle = failing_handler
+    for ours, theirs in pairs:
+        harness.server.serve_socket(theirs)
+        ours.sendall(GET)
+    await trio.sleep(0.05)
+    harness.server.handle = harness.handler
+    await harness.stream.send_all(GET)
+    await trio.sleep(0.05)
+    harness.server.finish()
+    for i, (ours, _) in enumerate(pairs):
+        failing_handler.respond_callbacks[i](messages.Reply(200))
+        ours.close()
+    assert harness.handler.expired == 1
