Take a deadline of hundreds of digits for none

A caller that sent Deadline-Ms with more than 308 digits got its connection closed without a reply. Pipelined behind another request, it got none either and the connection stayed open, and the exception was raised in the respond callback of the request before, hence in that call's own end.

The number did not fit into a float (OverflowError), or was too long for int (ValueError beyond 4,300 digits). 18 digits are read now, as for the store's era. Both cases of the test failed before.

--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP headers that the platform's callers and targets use."""
 
 import math
+import re
 
 from savorycross.forward import call as calls
 from savorycross.rate import statement
@@ -10,6 +11,8 @@
 _DEADLINE = b'deadline-ms'
 _STAMP = b'server-stamp'
 _NOT_RUN = b'not-run'
+# Longer numbers would not fit into a time.
+_DEADLINE_TEXT = re.compile(rb'\d{1,18}')
 # Requests a second that a target takes from all instances together.
 _RATE_LIMIT = b'server-limit'
 # In all replies of a target that is about to end.
@@ -149,6 +152,6 @@
 
 def _read_deadline(value):
     """Return the seconds in a header of milliseconds, or None."""
-    if value is None or not value.isdigit():
+    if value is None or not _DEADLINE_TEXT.fullmatch(value):
         return None
     return int(value) / 1000
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -27,6 +27,13 @@
     assert names == [b'Host', b'request-id', b'X-Own']
 
 
+# Guards against requests, and those pipelined before them, that were cut off.
+@pytest.mark.parametrize('digits', [400, 5000])
+def test_deadline_of_hundreds_of_digits_is_none(digits):
+    call = DIALECT.read_call(_request((b'Deadline-Ms', b'9' * digits)))
+    assert call.caller_timeout_s is None
+
+
 def test_send_names_deadline_and_target():
     call = DIALECT.read_call(_request())
     data = DIALECT.encode_send(call, 0.25, 'i-7')
