Close the connection of a pipelined request that cannot be handled

A request whose handler raised, while it waited behind another, got no reply and its connection stayed open; the exception was raised where the request before was answered, that is in the end of another call. Nothing was logged for a request that was first on its connection either.

The exception is reported now and ends only the connection, as it did for a first request. The test failed before with the handler's exception.

--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -434,7 +434,13 @@
             if self._buffers.is_exceeded:
                 self._respond(self._server.make_refusal('new'))
                 return
-        running = self._server.handle(request, self._respond)
+        try:
+            running = self._server.handle(request, self._respond)
+        except Exception as exc:
+            # The caller of this is the request before, which has not failed.
+            failure.report('start of a request', exc)
+            self.close()
+            return
         # The response may have begun the next request already.
         if self._current is request:
             self._running = running
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -313,6 +313,24 @@
         raise RuntimeError('expire')
 
 
+# Guards against a connection that hung, and a call that failed at its end, as
+# the request behind it could not be handled.
+async def test_failing_handler_of_a_pipelined_request_closes_its_connection(
+    harness,
+):
+    def fail(request, respond):
+        raise ValueError('broken')
+
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET + GET)
+    await trio.testing.wait_all_tasks_blocked()
+    harness.server.handle = fail
+    harness.handler.respond_callbacks[0](messages.Reply(200))
+    data = await harness.read_all()
+    assert data == b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    assert not harness.server._connections
+
+
 # Guards against a process that ends as a caller disconnects.
 async def test_request_that_fails_to_cancel_ends_only_its_connection(nursery):
     metrics = registry.Registry()
