Keep the first folder of the path when the interpreter adds none

With PYTHONSAFEPATH the interpreter does not put the folder of the start file on its path; the start file then replaced the first folder of PYTHONPATH, which holds the installed packages, and the process ended with status 1 (ModuleNotFoundError: trio). python -m with the repository on the path started.

The test failed before, as the folder was lost.

--- a/savorycross/platform/start.py
+++ b/savorycross/platform/start.py
@@ -16,9 +16,13 @@
     """Run the program; return the exit status of the process."""
     import os
 
-    # The folder of this file, which the interpreter puts there, would hide
-    # modules of the standard library.
-    sys.path[0] = os.path.abspath(os.path.join(__file__, '../../..'))
+    root = os.path.abspath(os.path.join(__file__, '../../..'))
+    if sys.flags.safe_path:
+        sys.path.insert(0, root)
+    else:
+        # The folder of this file, which the interpreter puts there, would
+        # hide modules of the standard library.
+        sys.path[0] = root
     # Until the instance handles the signal there is no request to finish.
     _signal.signal(_signal.SIGTERM, lambda number, frame: os._exit(0))
     import site
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -15,11 +15,14 @@
 """
 
 
-def start(folder):
-    """Run the deploy file's words, with a folder on the interpreter's path."""
+def start(folder, **variables):
+    """Run the deploy file's words, with a folder on the interpreter's path.
+
+    :param variables: further variables of the environment.
+    """
     with open(ROOT / 'deploy/system.toml', 'rb') as file:
         words = tomllib.load(file)['roles']['entry']['run'].split()
-    environment = {**os.environ, 'PYTHONPATH': str(folder)}
+    environment = {**os.environ, 'PYTHONPATH': str(folder), **variables}
     environment.pop('SAVORYCROSS_SETTINGS', None)
     return subprocess.run(
         [sys.executable, *words[1:]],
@@ -45,6 +48,16 @@
     assert start(tmp_path).returncode == 0
 
 
+# Guards against a start without the folder of the installed packages.
+def test_safe_path_keeps_the_first_folder_of_the_path(tmp_path):
+    (tmp_path / 'sitecustomize.py').write_text(
+        'import os\nos.write(1, b"found")\n'
+    )
+    process = start(tmp_path, PYTHONSAFEPATH='1')
+    assert process.stdout.startswith('found'), process.stderr
+    assert process.returncode == 2, process.stderr
+
+
 # Prints the modules loaded since the interpreter's own start, at the first
 # action that is set for a signal, and which signal it is.
 FIRST_STATEMENT = """
