Read little ahead at the end of an instance too

The loop keeps to the bound on reading ahead, and goes on after a caller that left before it was accepted. The test reads all that there is on the code before.

--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -254,7 +254,10 @@
         The connection stays open while a request is read or handled, or a
         reply is still to be sent.
         """
-        while not self._is_closing and (data := self._transport.read_now()):
+        while not self._is_closing and not self._must_pause():
+            data = self._transport.read_now()
+            if not data:
+                break
             self._feed(data)
         self.expire()
         if not self.is_busy and not self.has_pending:
@@ -652,10 +655,19 @@
     def _accept_waiting(self, listener):
         try:
             while True:
-                self.serve_socket(listener.accept()[0])
+                self.serve_socket(self._accept_next(listener))
         except OSError:
             return
 
+    @staticmethod
+    def _accept_next(listener):
+        """Return the socket of the next caller that hasn't left already."""
+        while True:
+            try:
+                return listener.accept()[0]
+            except ConnectionAbortedError:
+                continue
+
     def serve_socket(self, sock):
         """Serve a connected standard library socket."""
         transport = transports.Transport(sock, self._nursery, self.buffers)
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server."""
 
+import collections
 import socket
 
 import pytest
@@ -536,6 +537,19 @@
     assert len(harness.handler.requests) == 1
 
 
+# Guards against a stop that takes in all that a caller goes on to send.
+async def test_finish_reads_little_ahead_of_a_request_in_progress(harness):
+    harness.handler.answers_at_once = False
+    await harness.stream.send_all(GET)
+    await trio.testing.wait_all_tasks_blocked()
+    (connection,) = harness.server._connections
+    received = collections.deque([GET * 20] * 100)
+    connection._transport.read_now = received.popleft
+    connection.finish()
+    assert len(received) > 90
+    assert harness.handler.expired == len(harness.handler.requests)
+
+
 # Guards against a stop that ends the process as one of its requests fails.
 async def test_request_that_fails_to_expire_does_not_keep_others_from_finish(
     harness,
