Delegate nothing for a call that has failed during its start

The parts for a delegate are collected while a gather starts, and were sent even if the gather had ended by then, as a further service had no room in the time left: targets ran parts of a call whose caller had its answer. Since the body of a call is freed at its end, they would have got it without its body. Found when reading the change that frees it. The test fails on the code before, with one batch sent.

--- a/savorycross/forward/scatter_gather.py
+++ b/savorycross/forward/scatter_gather.py
@@ -122,7 +122,8 @@
         for fetch in dispensable + self._unlimited:
             if not self._is_over:
                 fetch.start()
-        self._batcher.send()
+        if not self._is_over:
+            self._batcher.send()
 
     def pause(self):
         """Collect parts without ending the call until ``resume``.
--- a/tests/delegate/test_batch.py
+++ b/tests/delegate/test_batch.py
@@ -182,3 +182,29 @@
     run.deliver((*part(0, b'z'), None, True))
     leaving = run.batch.targets[0]
     assert run.engine.target_registry.find_usable(leaving) is None
+
+
+# Guards against parts that run after their call, without its body.
+def test_call_that_fails_during_its_start_delegates_nothing():
+    batches = []
+    engine = fake_engine.FakeEngine(
+        others=fake_engine.make_delegates(
+            *map(fakes.make_peer, ('b', 'cc')),
+            make_pool=lambda address: fake_engine.FakePool(address, batches),
+        )
+    )
+    engine.add_far_targets(FAR)
+    engine.add_target('near', 'n1')
+    (near,) = engine.target_registry.list_usable('n1')
+    near.pool.has_room = False
+    ends = []
+    scatter_gather.ScatterGather(
+        engine,
+        fake_engine.make_call(),
+        fake_engine.make_route((*FAR, 'n1'), min_coverage=1.0),
+        objective_at=engine.time + 0.01,
+        end_at=engine.time + 0.01,
+        on_end=lambda reply, outcome: ends.append(outcome),
+    ).start()
+    assert ends == ['lost']
+    assert not batches
