--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -14,7 +14,7 @@
 from savorycross.overload import share_views
 from savorycross.overload import shares as limit_shares
 from savorycross.overload import waiting_line
-from savorycross.wire import buffers
+from savorycross.wire import buffers as buffer_counts
 
 MAX_ROUTE_LATENCIES = 2000
 # How often waiting sends are tried again without an event that gives room.
@@ -30,8 +30,6 @@
 class Engine:
     """Targets, budgets and latencies on which calls base their decisions.
 
-    ``buffers`` are the Buffers that count replies until their call ends.
-
     :param settings: InstanceSettings.
     :param dialect: Dialect.
     :param target_registry: TargetRegistry.
@@ -42,6 +40,8 @@
     :param metrics: metrics.registry.Registry.
     :param rates: TargetRates.
     :param now: callable that returns the runtime clock time in seconds.
+    :param buffers: Buffers that count replies until their call ends, or None
+        for some of its own.
     """
 
     def __init__(
@@ -56,6 +56,7 @@
         metrics,
         rates,
         now=trio.current_time,
+        buffers=None,
     ):
         self.dialect = dialect
         self.target_registry = target_registry
@@ -64,7 +65,7 @@
         self.log = log
         self.metrics = metrics
         self.rates = rates
-        self.buffers = buffers.Buffers()
+        self.buffers = buffers or buffer_counts.Buffers()
         rates.subscribe(self.wake_line)
         self._now = now
         self._settings = settings
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -68,7 +68,6 @@
         '_count_needed',
         '_in_flight',
         '_is_closed',
-        '_held_bytes',
         '_lacks_budget',
         '_on_done',
         '_route_latency',
@@ -119,7 +118,6 @@
         self._on_done = on_done
         self._route_latency = engine.route_latency(route)
         self._count_needed = count_needed
-        self._held_bytes = 0
         self._is_closed = False
         self._lacks_budget = False
         self._batcher = batcher
@@ -157,9 +155,8 @@
 
     def _hold_reply(self, reply):
         """Replace the reply, whose bytes count until the call ends."""
-        held_bytes = len(reply.body) if reply is not None else 0
-        self._engine.buffers.replies += held_bytes - self._held_bytes
-        self._held_bytes = held_bytes
+        grown_bytes = _count_body(reply) - _count_body(self.reply)
+        self._engine.buffers.replies += grown_bytes
         self.reply = reply
 
     def cancel(self):
@@ -532,6 +529,10 @@
     return since + TOKEN_WAIT_SHARE * route.objective_s
 
 
+def _count_body(reply):
+    return 0 if reply is None else len(reply.body)
+
+
 def _send_kind(is_extra, is_hedge):
     if not is_extra:
         return attempts.SendKind.FIRST
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -136,8 +136,8 @@
             self.log,
             self.metrics,
             self._rates,
+            buffers=self._buffers,
         )
-        self._engine.buffers = self._buffers
         self._gateway = gateways.Gateway(self._engine)
 
     def _make_rates(self):
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,8 +1,8 @@
 """HTTP headers that the platform's callers and targets use."""
 
 import math
-import re
 
+from savorycross import decoding
 from savorycross.forward import call as calls
 from savorycross.rate import statement
 from savorycross.wire import messages
@@ -11,8 +11,6 @@
 _DEADLINE = b'deadline-ms'
 _STAMP = b'server-stamp'
 _NOT_RUN = b'not-run'
-# Longer numbers would not fit into a time.
-_DEADLINE_TEXT = re.compile(rb'\d{1,18}')
 # Requests a second that a target takes from all instances together.
 _RATE_LIMIT = b'server-limit'
 # In all replies of a target that is about to end.
@@ -152,6 +150,5 @@
 
 def _read_deadline(value):
     """Return the seconds in a header of milliseconds, or None."""
-    if value is None or not _DEADLINE_TEXT.fullmatch(value):
-        return None
-    return int(value) / 1000
+    deadline_ms = decoding.decode_digits(value)
+    return None if deadline_ms is None else deadline_ms / 1000
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import math
-import re
 import urllib.parse
 
 import msgspec
@@ -39,8 +38,6 @@
 
 # Number of the store's era, in all of its answers.
 _ERA = b'store-era'
-# Longer numbers do not fit into the messages between instances.
-_ERA_TEXT = re.compile(rb'\d{1,18}')
 
 
 class _Lease(msgspec.Struct, frozen=True):
@@ -163,9 +160,9 @@
 
     def _read_era(self, reply):
         """Return the era that a reply names, or that of the one before."""
-        value = reply.header(_ERA)
-        if value is not None and _ERA_TEXT.fullmatch(value):
-            self._era = int(value)
+        era = decoding.decode_digits(reply.header(_ERA))
+        if era is not None:
+            self._era = era
         return self._era
 
     async def _call(
--- a/savorycross/wire/buffers.py
+++ b/savorycross/wire/buffers.py
@@ -61,10 +61,7 @@
     @property
     def is_short(self):
         """Whether only the spare bytes are left, or less."""
-        return (
-            self.requests + self.sends + self.replies + self.unsent
-            > self.short_bytes
-        )
+        return self.count > self.short_bytes
 
     def by_holder(self):
         """Return the bytes by the name of their holder."""
--- a/savorycross/wire/server.py
+++ b/savorycross/wire/server.py
@@ -212,7 +212,7 @@
 
     @property
     def held(self):
-        """What is Held for the caller alone, or None."""
+        """The Held of the caller, or None if nothing is held for it alone."""
         unsent_bytes = self._transport.pending_bytes
         unfinished_bytes = 0 if unsent_bytes else self._unfinished_bytes
         if self._current is not None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -94,7 +94,7 @@
             )
 
     def check_processes(self):
-        """Check that no process ended that nothing asked to end."""
+        """Check that no process ended by itself; start those that did."""
         for instance in self._testbed.instances:
             status = instance.unexpected_status
             if status is None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -147,7 +147,7 @@
         await self._reload(self._choose_instance())
 
     async def _reload(self, instance):
-        """Write the settings and tell the instance, half written at times."""
+        """Write the settings, at times only half of them, and send SIGHUP."""
         how = self._rng.choice(SETTINGS_CHANGES)
         instance.write_settings(how)
         if instance.runs_program:
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -349,26 +349,6 @@
     assert 'task_failures{task="Server._run"} 1' in metrics.render()
 
 
-# Guards against a stop that ends as one of its requests fails.
-async def test_request_that_fails_to_expire_does_not_keep_others_from_it(
-    harness,
-):
-    harness.handler.answers_at_once = False
-    failing_handler = FailingHandler()
-    harness.server.handle = failing_handler
-    ours, theirs = socket.socketpair()
-    with ours:
-        harness.server.serve_socket(theirs)
-        ours.sendall(GET)
-        await trio.sleep(0.05)
-        harness.server.handle = harness.handler
-        await harness.stream.send_all(GET)
-        await trio.sleep(0.05)
-        harness.server.expire_requests()
-        failing_handler.respond_callbacks[0](messages.Reply(200))
-    assert harness.handler.expired == 1
-
-
 def _unread_stream_body():
     """Return a body that no buffers of a connection on loopback hold."""
     return b'x' * 12_000_000
@@ -551,8 +531,9 @@
 
 
 # Guards against a stop that ends the process as one of its requests fails.
-async def test_request_that_fails_to_expire_does_not_keep_others_from_finish(
-    harness,
+@pytest.mark.parametrize('method', ['expire_requests', 'finish'])
+async def test_request_that_fails_to_expire_does_not_keep_others_from_it(
+    harness, method
 ):
     harness.handler.answers_at_once = False
     failing_handler = FailingHandler()
@@ -565,7 +546,7 @@
     harness.server.handle = harness.handler
     await harness.stream.send_all(GET)
     await trio.sleep(0.05)
-    harness.server.finish()
+    getattr(harness.server, method)()
     for i, (ours, _) in enumerate(pairs):
         failing_handler.respond_callbacks[i](messages.Reply(200))
         ours.close()
