Add the types that workspaces, quotas, roll-outs and capacities share

The configuration's workspaces and public routes, the settings' bounds on withdrawn keys, quotas and roll-outs, and what the machine has are decoded; heartbeats can carry an instance's capacity.

--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -10,6 +10,7 @@
 from savorycross.wire import versioned
 
 _Load = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
+_Capacity = typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 _Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 # Version of the message format; messages of other versions are dropped.
@@ -50,12 +51,15 @@
         it, as far as the sender knows.
     :param flags: READY and LEAVING.
     :param load: percentage of a core that the instance uses.
+    :param capacity: processor that it can use, in thousandths of a core; 0
+        if it is not known.
     """
 
     id: int
     age_ms: typing.Annotated[int, msgspec.Meta(ge=0)]
     flags: int
     load: _Load = 0
+    capacity: _Capacity = 0
 
 
 READY = 1
@@ -77,6 +81,7 @@
     :param era: era of ``revision``; 0 if the sender does not know eras.
     :param configuration: version of the configuration that the sender has in
         force; 0 if it has none or does not tell.
+    :param capacity: see StatusRow; of the sender.
     """
 
     format: int
@@ -90,6 +95,7 @@
     load: _Load = 0
     era: int = 0
     configuration: int = 0
+    capacity: _Capacity = 0
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -39,6 +39,8 @@
     :param configuration: version of the configuration in force there.
     :param has_store: whether the store answers the peer.
     :param load: percentage of a core that the peer uses.
+    :param capacity: processor that it can use, in thousandths of a core; 0
+        if it is not known.
     """
 
     peer: object
@@ -50,6 +52,7 @@
     configuration: int = 0
     has_store: bool = False
     load: int = 0
+    capacity: int = 0
 
 
 class PeerRegistry:
@@ -122,6 +125,7 @@
         state.configuration = heartbeat.configuration
         state.has_store = heartbeat.has_store
         state.load = heartbeat.load
+        state.capacity = heartbeat.capacity
 
     def tick(self, now):
         """Log peers that became alive or silent, and remove old entries."""
@@ -293,6 +297,7 @@
                 int((now - s.heard_at) * 1000),
                 s.flags,
                 s.load,
+                s.capacity,
             )
             for s in self._by_name.values()
             if s.heard_at is not None
@@ -335,6 +340,7 @@
             state.heard_at = heard_at
             state.flags = row.flags
             state.load = row.load
+            state.capacity = row.capacity
 
     def _add_unknown(self, id_, address, now):
         if (
--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -4,6 +4,8 @@
 import enum
 import typing
 
+from savorycross.workspace import workspace as workspaces
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -17,6 +19,7 @@
     :param caller_timeout_s: seconds that the caller waits, or None if it
         does not say.
     :param received_at: runtime clock time in seconds.
+    :param workspace: Workspace of the caller, or None if it has none.
     """
 
     id: bytes
@@ -28,6 +31,7 @@
     body: bytes
     caller_timeout_s: float | None
     received_at: float
+    workspace: workspaces.Workspace | None = None
 
     @property
     def label(self):
--- a/savorycross/gateway/instance_settings.py
+++ b/savorycross/gateway/instance_settings.py
@@ -36,6 +36,50 @@
     slack: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaLimits:
+    """Bound on the requests of a workspace in any window, over all instances.
+
+    :param window_s: length of the sliding window in seconds.
+    :param overage: part of the quota by which it may be exceeded.
+    :param slack: requests by which it may be exceeded on top.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutLimits:
+    """Bound on the requests that a bad version of a service gets.
+
+    :param share: part of all requests that reach the service.
+    :param slack: requests on top.
+    :param revert_s: seconds from its 50th bad answer until it gets none.
+    """
+
+    share: float
+    slack: float
+    revert_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineCapacity:
+    """What the machine of an instance has; 0 where it is not known.
+
+    :param cores: processor in cores, with fractions.
+    :param memory_bytes: memory above which the machine ends the process.
+    :param descriptors: files and sockets that the process may open.
+    :param link_bytes_per_s: bytes a second over the network, one way.
+    """
+
+    cores: float = 0.0
+    memory_bytes: int = 0
+    descriptors: int = 0
+    link_bytes_per_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceSettings:
     """Addresses, limits and time bounds of one instance.
@@ -64,6 +108,11 @@
     :param extra_send_limits: limits of retries and hedges.
     :param cold_send_limits: limits of sends to cold targets.
     :param memory_bytes: memory above which the machine ends the process.
+    :param capacity: MachineCapacity.
+    :param revocation_s: seconds after which a withdrawn key no longer works
+        anywhere, or None if there is no such bound.
+    :param quota_limits: QuotaLimits, or None if there is no such bound.
+    :param rollout_limits: RolloutLimits, or None if there is no such bound.
     """
 
     name: str
@@ -86,6 +135,10 @@
     extra_send_limits: ExtraSendLimits
     cold_send_limits: ColdSendLimits
     memory_bytes: int = MEMORY_BYTES
+    capacity: MachineCapacity = MachineCapacity()
+    revocation_s: float | None = None
+    quota_limits: QuotaLimits | None = None
+    rollout_limits: RolloutLimits | None = None
 
     @property
     def change_deadline_s(self):
--- a/savorycross/platform/configuration.py
+++ b/savorycross/platform/configuration.py
@@ -8,6 +8,8 @@
 from savorycross.route import route
 from savorycross.route import service
 from savorycross.wire import server
+from savorycross.workspace import directory
+from savorycross.workspace import workspace
 
 
 class _WeightedService(msgspec.Struct, frozen=True):
@@ -32,6 +34,7 @@
     fanout: tuple[str, ...] = ()
     top_k: decoding.Integer = 0
     min_share: float = 1.0
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -48,11 +51,21 @@
     idle_ms: float = server.IDLE_TIMEOUT_S * 1000
 
 
+class _Workspace(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: decoding.Integer = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Configuration(msgspec.Struct, frozen=True):
     version: decoding.Integer
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
+    # Workspaces.
+    tenants: tuple[_Workspace, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(_Configuration)
@@ -82,6 +95,19 @@
             limits.header_ms / 1000,
             limits.idle_ms / 1000,
         ),
+        _to_directory(document.tenants),
+    )
+
+
+def _to_directory(rows):
+    return directory.WorkspaceDirectory(
+        [
+            (
+                workspace.Workspace(r.name, r.priority, r.rate_per_s, r.burst),
+                r.api_keys,
+            )
+            for r in rows
+        ]
     )
 
 
@@ -100,6 +126,7 @@
         priority=fields.priority,
         record_limit=fields.top_k,
         min_coverage=fields.min_share,
+        is_public=fields.public,
     )
 
 
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from savorycross import decoding
 from savorycross import errors
 from savorycross.gateway import instance_settings
 from savorycross import host_port
 
 PATH_VARIABLE = 'SAVORYCROSS_SETTINGS'
 BYTES_PER_MB = 1_000_000
+BYTES_PER_MBIT = 125_000
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -27,6 +29,15 @@
     retry_slack: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
+    quota_window_s: float | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    # Bounds of roll-outs.
+    canary_share: float | None = None
+    canary_slack: float = 0.0
+    rollback_ms: float = 5000.0
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -36,7 +47,12 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
+    # Part of the cores that the process may use.
+    cpu_share: float = 0.0
+    cores: float = 0.0
     memory_mb: float | None = None
+    max_fds: decoding.Integer = 0
+    link_mbps: float = 0.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -112,6 +128,33 @@
             bounds.cold_overage, bounds.cold_slack
         ),
         memory_bytes=memory_bytes,
+        capacity=instance_settings.MachineCapacity(
+            limits.cpu_share * limits.cores,
+            memory_bytes,
+            limits.max_fds,
+            limits.link_mbps * BYTES_PER_MBIT,
+        ),
+        revocation_s=(
+            bounds.revoke_ms / 1000 if bounds.strict_revoke else None
+        ),
+        quota_limits=_to_quota_limits(bounds),
+        rollout_limits=_to_rollout_limits(bounds),
+    )
+
+
+def _to_quota_limits(bounds):
+    if bounds.quota_window_s is None:
+        return None
+    return instance_settings.QuotaLimits(
+        bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+    )
+
+
+def _to_rollout_limits(bounds):
+    if bounds.canary_share is None:
+        return None
+    return instance_settings.RolloutLimits(
+        bounds.canary_share, bounds.canary_slack, bounds.rollback_ms / 1000
     )
 
 
--- a/savorycross/route/route.py
+++ b/savorycross/route/route.py
@@ -47,6 +47,7 @@
     :param priority: urgency; 0 is the most urgent.
     :param record_limit: largest number of records in a merged answer.
     :param min_coverage: smallest share of services in a merged answer.
+    :param is_public: whether requests need no key.
     """
 
     name: str
@@ -61,6 +62,7 @@
     priority: int = 0
     record_limit: int = 0
     min_coverage: float = 1.0
+    is_public: bool = False
 
     @property
     def services(self):
--- /dev/null
+++ b/savorycross/workspace/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of callers: whose request it is, and whether its key holds."""
