Let instances on fast machines take the callers

Hashing of names selected three instances of each data centre, mostly slow ones, as 104 of 110 are.

Instances with less than half of the speed of the fastest in their data centre are selected after all others, when the load needs them or the fast ones are lost. Machines of one kind are selected as before.

--- a/savorycross/fleet/directory.py
+++ b/savorycross/fleet/directory.py
@@ -22,13 +22,25 @@
     :param seed_count: number of other instances that exist at least, as far
         as the settings tell.
     :param now: runtime clock time in seconds.
+    :param read_speed: callable that returns the part of a core that this
+        instance can use.
     """
 
-    def __init__(self, own, peers, subset, read_load, seed_count, now):
+    def __init__(
+        self,
+        own,
+        peers,
+        subset,
+        read_load,
+        seed_count,
+        now,
+        read_speed=lambda: 1.0,
+    ):
         self._own = own
         self._peers = peers
         self._subset = subset
         self._read_load = read_load
+        self._read_speed = read_speed
         self._seed_names = frozenset(
             f'seed {n + 1}' for n in range(seed_count)
         )
@@ -96,14 +108,20 @@
         states = self._peers.serving_states(now)
         candidates = [
             caller_subset.Candidate(
-                s.peer.name, s.peer.data_centre, s.load / 100
+                s.peer.name,
+                s.peer.data_centre,
+                s.load / 100,
+                s.capacity / 1000 or 1.0,
             )
             for s in states
         ]
         if self.is_ready:
             candidates.append(
                 caller_subset.Candidate(
-                    self._own.name, self._own.data_centre, self._read_load()
+                    self._own.name,
+                    self._own.data_centre,
+                    self._read_load(),
+                    self._read_speed(),
                 )
             )
         self._subset.update(candidates, now)
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -32,6 +32,7 @@
 from savorycross.metrics import process_usage
 from savorycross.metrics import registry
 from savorycross.overload import caller_subset
+from savorycross.overload import machine_speed
 from savorycross.rate import target_rates
 from savorycross.rate import transport as rate_transports
 from savorycross.wire import buffers
@@ -112,6 +113,13 @@
             lambda: self._loop_load.value,
             len(settings.seeds),
             trio.current_time(),
+            self._read_speed,
+        )
+
+    def _read_speed(self):
+        """Return the part of a core that this instance can use now."""
+        return machine_speed.usable_speed(
+            self._settings.capacity.cores, self._loop_load.lag_s
         )
 
     def _make_forwarding(self):
@@ -325,6 +333,7 @@
             'configuration': self._gateway.version,
             'has_store': self._follower.is_connected,
             'load': round(100 * self._loop_load.value),
+            'capacity': round(1000 * self._read_speed()),
         }
 
     def _on_synced(self):
@@ -401,6 +410,7 @@
         gauge('instances', self._count_instances())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
+        gauge('machine_speed', round(self._read_speed(), 3))
         gauge('loop_load', round(self._loop_load.value, 3))
         gauge('loop_lag_seconds', round(self._loop_load.lag_s, 4))
         gauge('busy_callers', self._caller_server.busy)
--- a/savorycross/overload/caller_subset.py
+++ b/savorycross/overload/caller_subset.py
@@ -6,20 +6,26 @@
 instances take callers as their load needs; the others stand by and replace
 those that are lost.
 
-Rendezvous hashing selects them, so that instances agree without messages and
-a lost one changes nothing but its own place.
+Where machines differ, a slow one takes several times as long for a request,
+however little it has to do. So instances on fast machines take the callers;
+slow ones follow when the load needs them or the fast ones are lost.
+
+Rendezvous hashing selects among equals, so that instances agree without
+messages and a lost one changes nothing but its own place.
 """
 
 import dataclasses
-import math
 
 from savorycross.ownership import rendezvous
 
 # Instances of a data centre that take callers, however small their load.
 MIN_SELECTED = 3
-# Load at which another instance is added, as a part of a core in use. The
+# Load at which another instance is added, as a part of what it can do. The
 # rest is left for callers of a data centre that is lost.
 TARGET_LOAD = 0.35
+# Instances with less than this part of the speed of the fastest one in their
+# data centre are slow.
+MIN_SPEED_PART = 0.5
 # The number of instances falls only if the load allows it for this time.
 SHRINK_AFTER_S = 15.0
 # Longest time for which callers use an instance after the last list that
@@ -31,23 +37,26 @@
 class Candidate:
     """An instance that is ready for callers.
 
-    :param load: part of a core in use, from 0 to 1.
+    :param load: part of the time in which it works, from 0 to 1.
+    :param speed: part of a core that it can use, above 0.
     """
 
     name: str
     data_centre: str
     load: float
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Size:
-    """The number of instances that are selected in a data centre.
+    """The work that the instances selected in a data centre have to do.
 
-    :param fits_since: runtime clock time from which on a smaller number
-        would have sufficed, or None.
+    :param work: processor time in a second, in seconds.
+    :param fits_since: runtime clock time from which on fewer instances would
+        have sufficed, or None.
     """
 
-    count: int = MIN_SELECTED
+    work: float = 0.0
     fits_since: float | None = None
 
 
@@ -79,8 +88,8 @@
             )
         selected = set()
         for data_centre, members in by_data_centre.items():
-            count = self._resize(data_centre, members, now)
-            ranked = rendezvous.rank(data_centre, members)
+            ranked = rank(data_centre, members)
+            count = self._resize(data_centre, ranked, now)
             selected.update(c.name for c in ranked[:count])
         self.selected = frozenset(selected)
         self._selected_at.update(dict.fromkeys(selected, now))
@@ -105,18 +114,56 @@
             if name != own or now - at <= OUTDATED_LIST_S
         )
 
-    def _resize(self, data_centre, members, now):
-        """Return the number of instances to select in a data centre."""
-        size = self._sizes.setdefault(data_centre, _Size(self._min_selected))
-        load = sum(c.load for c in members if c.name in self.selected)
-        needed = max(math.ceil(load / TARGET_LOAD), self._min_selected)
-        needed = min(needed, max(len(members), self._min_selected))
-        if needed >= size.count:
-            size.count = needed
+    def _resize(self, data_centre, ranked, now):
+        """Return the number of instances to select in a data centre.
+
+        :param ranked: Candidates in the order in which they are selected.
+        """
+        size = self._sizes.setdefault(data_centre, _Size())
+        work = sum(c.load * c.speed for c in ranked if c.name in self.selected)
+        kept = self._count_needed(ranked, size.work)
+        needed = self._count_needed(ranked, work)
+        if needed >= kept:
+            size.work = work
             size.fits_since = None
-        elif size.fits_since is None:
+            return needed
+        if size.fits_since is None:
             size.fits_since = now
         elif now - size.fits_since >= SHRINK_AFTER_S:
-            size.count = needed
+            size.work = work
             size.fits_since = None
-        return size.count
+            return needed
+        return kept
+
+    def _count_needed(self, ranked, work):
+        """Return how many Candidates suffice for some work.
+
+        :param work: processor time in a second, in seconds.
+        """
+        fastest = max(c.speed for c in ranked)
+        fast = sum(not _is_slow(c, fastest) for c in ranked)
+        room = 0.0
+        count = 0
+        while count < len(ranked) and room < work / TARGET_LOAD:
+            room += ranked[count].speed
+            count += 1
+        return max(count, min(self._min_selected, fast))
+
+
+def rank(data_centre, candidates):
+    """Return the Candidates of a data centre, those to select first.
+
+    The fast ones go before the slow ones, in the order of rendezvous hashing.
+
+    >>> members = [Candidate(n, 'x', 0.0, 0.3) for n in 'abc']
+    >>> members.append(Candidate('fast', 'x', 0.0, 1.0))
+    >>> rank('x', members)[0].name
+    'fast'
+    """
+    ranked = rendezvous.rank(data_centre, candidates)
+    fastest = max((c.speed for c in ranked), default=0.0)
+    return sorted(ranked, key=lambda c: _is_slow(c, fastest))
+
+
+def _is_slow(candidate, fastest):
+    return candidate.speed < MIN_SPEED_PART * fastest
