Ask for keys and order calls by workspace where workspaces are declared

The configuration's workspaces were decoded but not used. Now a request on a route that isn't public needs a key; it is answered 401 without one or with an unknown one, which is counted and logged without the key. Targets and delegates get the name of the workspace instead of the key, and no claim of a caller's own. The priority of the workspace goes before that of the route in waiting lines and return times. A public route ignores keys. Of two workspaces with the same key the later one loses, with a log line.

--- a/savorycross/forward/call.py
+++ b/savorycross/forward/call.py
@@ -33,6 +33,16 @@
     received_at: float
     workspace: workspaces.Workspace | None = None
 
+    def urgency(self, route):
+        """Return the priorities of the workspace and of a Route.
+
+        Calls are ordered by them. A call without a workspace counts as if
+        its workspace had the most urgent priority, which is the default.
+        """
+        if self.workspace is None:
+            return (0, route.priority)
+        return (self.workspace.priority, route.priority)
+
     @property
     def label(self):
         """Identity of the call as text, for logs."""
@@ -64,8 +74,19 @@
 class Dialect(typing.Protocol):
     """The HTTP headers that callers and targets use."""
 
-    def read_call(self, request) -> Call | None:
-        """Return the Call in a Request, or None if it has no identity."""
+    def read_call(self, request, has_workspaces=False) -> Call | None:
+        """Return the Call in a Request, or None if it has no identity.
+
+        :param has_workspaces: whether the configuration has workspaces. Then
+            neither the key nor a caller's own claim of a workspace is
+            forwarded.
+        """
+
+    def read_key(self, request) -> bytes | None:
+        """Return the key in a Request, or None."""
+
+    def assign(self, call, workspace) -> Call:
+        """Return a Call with a workspace, whose name targets get."""
 
     def encode_send(self, call, remaining_s, target_id) -> bytes:
         """Return the request to a target as bytes.
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -147,8 +147,11 @@
         :param end_at: runtime clock time of the call's deadline.
         """
         now = self.now()
+        priorities = (route.priority,)
+        if call.workspace is not None:
+            priorities = call.urgency(route)
         return_s = return_time.choose_return_s(
-            return_at - now, end_at - now, route.priority, call.id
+            return_at - now, end_at - now, priorities, call.id
         )
         return self.dialect.make_refusal(503, return_s)
 
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -332,8 +332,9 @@
         """Return the Place in the line of sends that wait for room."""
         typical_s = self._route_latency.typical_s
         is_late = self._engine.now() + typical_s > self.wait_for_target_until
+        urgency = self.call.urgency(self.route)
         return waiting_line.Place(
-            self.route.priority, self._count_needed(), self.end_at, is_late
+            urgency, self._count_needed(), self.end_at, is_late
         )
 
     def try_turn(self, now):
--- a/savorycross/forward/gather_start.py
+++ b/savorycross/forward/gather_start.py
@@ -44,7 +44,7 @@
         on_refused,
     ):
         self._engine = engine
-        self._route = route
+        self._urgency = call.urgency(route)
         self._limited = limited
         self._needed = needed
         self._objective_at = objective_at
@@ -83,7 +83,7 @@
         """Return the Place in the lines."""
         is_late = self._engine.now() > self._objective_at
         return waiting_line.Place(
-            self._route.priority, self._needed, self._end_at, is_late
+            self._urgency, self._needed, self._end_at, is_late
         )
 
     def try_turn(self, now):
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -38,6 +38,7 @@
         self._engine = engine
         self._read_lag_s = read_lag_s
         self._balancers = {}
+        self._has_workspaces = False
 
     def adopt(self, configuration):
         """Put a configuration in force.
@@ -45,6 +46,7 @@
         Requests in progress keep the one with which they began.
         """
         self.configuration = configuration
+        self._has_workspaces = not configuration.workspaces.is_empty
         self._balancers = {}
         self._engine.target_registry.set_services(configuration.services)
 
@@ -79,7 +81,7 @@
     def handle(self, request, respond):
         """Handle a request; see ``wire.server.Handler``."""
         dialect = self._engine.dialect
-        call = dialect.read_call(request)
+        call = dialect.read_call(request, self._has_workspaces)
         if call is None:
             respond(dialect.make_refusal(400))
             return None
@@ -90,8 +92,34 @@
         if route is None:
             self._refuse(call, respond, 404, 'no route')
             return None
+        if self._has_workspaces and not route.is_public:
+            call = self._admit(call, request, respond)
+            if call is None:
+                return None
         return self._run(call, route, respond)
 
+    def _admit(self, call, request, respond):
+        """Return a Call with the workspace of its key.
+
+        :returns: None if the request was refused.
+        """
+        dialect = self._engine.dialect
+        key = dialect.read_key(request)
+        if key is None:
+            self._refuse_key(call, respond, 'missing')
+            return None
+        workspace = self.configuration.workspaces.find(key)
+        if workspace is None:
+            self._refuse_key(call, respond, 'unknown')
+            return None
+        self._engine.metrics.count('keys', outcome='accepted')
+        return dialect.assign(call, workspace)
+
+    def _refuse_key(self, call, respond, outcome):
+        """Refuse a call because of its key, which no record may name."""
+        self._engine.metrics.count('keys', outcome=outcome)
+        self._refuse(call, respond, 401, f'key {outcome}')
+
     def _run(self, call, route, respond):
         engine = self._engine
         version = self.version
--- a/savorycross/gateway/store_changes.py
+++ b/savorycross/gateway/store_changes.py
@@ -99,4 +99,9 @@
             version=configuration.version,
             revision=item.revision,
             routes=len(configuration.routes),
+            workspaces=len(configuration.workspaces.workspaces),
         )
+        for name, holder in configuration.workspaces.conflicts:
+            self._log.event(
+                'workspace.key_taken', workspace=name, holder=holder
+            )
--- a/savorycross/overload/waiting_line.py
+++ b/savorycross/overload/waiting_line.py
@@ -19,14 +19,15 @@
 class Place:
     """What decides on the place of a waiting send.
 
-    :param priority: urgency of the request; 0 is the most urgent.
+    :param urgency: priorities of the request, the one that goes first in
+        front; 0 is the most urgent.
     :param needed: further parts that the call needs before it can be
         answered; 0 or less if the waiting one is not needed.
     :param end_at: runtime clock time of the deadline in seconds.
     :param is_late: whether an answer would come after the objective.
     """
 
-    priority: int
+    urgency: tuple[int, ...]
     needed: int
     end_at: float
     is_late: bool = False
@@ -35,15 +36,17 @@
     def key(self):
         """The key by which places are sorted.
 
-        >>> Place(0, 3, 9.0).key < Place(1, 1, 5.0).key
+        >>> Place((0, 2), 3, 9.0).key < Place((1, 0), 1, 5.0).key
         True
-        >>> Place(1, 1, 9.0).key < Place(1, 2, 5.0).key < Place(0, 0, 1.0).key
+        >>> Place((1,), 1, 9.0).key < Place((1,), 2, 5.0).key
+        True
+        >>> Place((1,), 2, 5.0).key < Place((0,), 0, 1.0).key
         True
         """
         return (
             self.needed <= 0,
             self.is_late,
-            self.priority,
+            self.urgency,
             self.needed,
             self.end_at,
         )
--- a/savorycross/platform/dialect.py
+++ b/savorycross/platform/dialect.py
@@ -1,5 +1,6 @@
 """HTTP headers that the platform's callers and targets use."""
 
+import dataclasses
 import math
 
 from savorycross import decoding
@@ -17,6 +18,12 @@
 _LEAVING = b'server-leaving'
 # Headers that are not forwarded, as each send sets its own.
 _NOT_FORWARDED = messages.HOP_BY_HOP | {_DEADLINE, b'expect-instance'}
+_KEY = b'api-key'
+# With workspaces, targets trust the header that names one. Without them, both
+# headers are the callers' own.
+_NOT_FORWARDED_WITH_WORKSPACES = _NOT_FORWARDED | {_KEY, b'tenant'}
+
+_CONTROLS = {**dict.fromkeys(range(32)), 127: None}
 
 
 class PlatformDialect:
@@ -25,15 +32,20 @@
     Implements ``forward.call.Dialect``.
     """
 
-    def read_call(self, request):
+    def read_call(self, request, has_workspaces=False):
         """Return the Call that a Request makes.
 
+        :param has_workspaces: whether the configuration has workspaces, so
+            that headers about them aren't forwarded.
         :returns: None if the request has no id or no host.
         """
         id_ = b''
         host = b''
         deadline = None
         forwarded = []
+        not_forwarded = _NOT_FORWARDED
+        if has_workspaces:
+            not_forwarded = _NOT_FORWARDED_WITH_WORKSPACES
         for name, value in request.headers:
             lower = name.lower()
             if lower == _ID:
@@ -42,7 +54,7 @@
                 host = value
             elif lower == _DEADLINE:
                 deadline = value
-            if lower not in _NOT_FORWARDED:
+            if lower not in not_forwarded:
                 forwarded.append((name, value))
         if not id_ or not host:
             return None
@@ -59,6 +71,25 @@
             received_at=request.received_at,
         )
 
+    def read_key(self, request):
+        """Return the key in a Request as bytes, or None.
+
+        :returns: None too if there are several, as it is unclear whose
+            request it is then.
+        """
+        keys = [v for name, v in request.headers if name.lower() == _KEY]
+        return keys[0] or None if len(keys) == 1 else None
+
+    def assign(self, call, workspace):
+        """Return a Call with a workspace that targets are told."""
+        # A line break in a name would begin a header of its own.
+        name = workspace.name.translate(_CONTROLS).encode()
+        return dataclasses.replace(
+            call,
+            headers=(*call.headers, (b'Tenant', name)),
+            workspace=workspace,
+        )
+
     def encode_send(self, call, remaining_s, target_id):
         """Return the bytes of the request to a target.
 
--- a/savorycross/workspace/directory.py
+++ b/savorycross/workspace/directory.py
@@ -14,6 +14,9 @@
 class WorkspaceDirectory:
     """The workspaces of one configuration, by their keys.
 
+    ``conflicts`` holds the names of a workspace that lacks one of its keys
+    and of the one that holds this key, for each such pair.
+
     :param workspaces: pairs of a Workspace and its keys as texts. Of several
         workspaces with the same key, the first one holds it.
 
@@ -28,9 +31,15 @@
     def __init__(self, workspaces=()):
         self.workspaces = tuple(w for w, _ in workspaces)
         self._by_digest = {}
+        conflicts = {}
         for workspace, keys in workspaces:
             for key in keys:
-                self._by_digest.setdefault(_digest(key.encode()), workspace)
+                holder = self._by_digest.setdefault(
+                    _digest(key.encode()), workspace
+                )
+                if holder is not workspace:
+                    conflicts[workspace.name, holder.name] = None
+        self.conflicts = tuple(conflicts)
 
     @property
     def is_empty(self):
--- a/standins/fleet/dialect.py
+++ b/standins/fleet/dialect.py
@@ -25,7 +25,7 @@
         headers = ((ID, id_), (DEADLINE, b'%.6f' % remaining_s))
         return messages.Request(b'GET', path, headers, received_at=received_at)
 
-    def read_call(self, request):
+    def read_call(self, request, has_workspaces=False):
         """Return the Call that a Request makes."""
         return calls.Call(
             id=request.header(ID),
--- a/tests/overload/test_waiting_line.py
+++ b/tests/overload/test_waiting_line.py
@@ -7,7 +7,7 @@
     """A waiting send at a fixed place."""
 
     def __init__(self, priority=1, needed=1, end_at=9.0, is_late=False):
-        self._place = waiting_line.Place(priority, needed, end_at, is_late)
+        self._place = waiting_line.Place((priority,), needed, end_at, is_late)
 
     def place(self):
         """Return the place."""
