Let workspaces of equal urgency take turns in the waiting line

A workspace whose callers send many times their usual filled the line of a service, and the others of the same urgency waited behind its sends.

--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -235,11 +235,8 @@
         if timer is not None:
             timer.cancel()
         line = self.line(service)
-        while any(
-            send.try_turn(now)
-            for send in line.ordered()[:MAX_TURNS_WITHOUT_ROOM]
-        ):
-            line.record_turn()
+        while (send := _find_turn(line, now)) is not None:
+            line.record_turn(send)
         if line:
             self._schedule_recheck(service, now)
 
@@ -476,3 +473,11 @@
         limits = self._settings.cold_send_limits
         total = declared.cold_rate_per_s * limits.overage + limits.slack
         return min(view.units(total, state.target.id) for view in binding)
+
+
+def _find_turn(line, now):
+    """Let a waiting send go ahead; return it, or None if there is no room."""
+    for send in line.ordered()[:MAX_TURNS_WITHOUT_ROOM]:
+        if send.try_turn(now):
+            return send
+    return None
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -328,6 +328,11 @@
             return
         self._send_or_wait()
 
+    @property
+    def workspace(self):
+        """The Workspace of the call, or None."""
+        return self.call.workspace
+
     def place(self):
         """Return the Place in the line of sends that wait for room."""
         typical_s = self._route_latency.typical_s
--- a/savorycross/forward/gather_start.py
+++ b/savorycross/forward/gather_start.py
@@ -44,6 +44,7 @@
         on_refused,
     ):
         self._engine = engine
+        self.workspace = call.workspace
         self._urgency = call.urgency(route)
         self._limited = limited
         self._needed = needed
