Check a configuration on the command line before it is sent

Operators learned of a mistake in a configuration from failing requests: the store takes what decodes, such as a route that an equal prefix hides or a service that is not declared. 'savorycross configuration check' decodes the file as instances do, names errors and probable mistakes with their place, and lists what differs from the file in force. Keys are never shown.

--- a/savorycross/cli/main.py
+++ b/savorycross/cli/main.py
@@ -11,6 +11,7 @@
 import trio
 
 import savorycross
+from savorycross.cli import configuration
 from savorycross.cli import deferred
 from savorycross.cli import explain
 from savorycross.cli import instances
@@ -33,6 +34,7 @@
 
     def __init__(self):
         self.sheet = sheet.SheetCommands()
+        self.configuration = configuration.ConfigurationCommands()
         self.settings = settings_commands.SettingsCommands()
 
     def serve(self, **flags):
--- /dev/null
+++ b/savorycross/inspection/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before operators send it."""
--- a/savorycross/workspace/directory.py
+++ b/savorycross/workspace/directory.py
@@ -46,6 +46,23 @@
         """Whether no workspaces are declared, so that no key is needed."""
         return not self.workspaces
 
+    def digests(self, name):
+        """Return the digests of the keys that a workspace holds, as a set.
+
+        They can be compared with those of other directories of the process.
+
+        :param name: name of the workspace.
+        """
+        return frozenset(
+            digest
+            for digest, workspace in self._by_digest.items()
+            if workspace.name == name
+        )
+
+    def count_keys(self, workspace):
+        """Return the number of keys that a Workspace holds."""
+        return sum(w is workspace for w in self._by_digest.values())
+
     def find(self, key):
         """Return the Workspace that holds a key, or None.
 
