Keep the requests of workspaces within quotas over all instances

Workspaces declare a rate and a burst that hold over all instances, and nothing limited them. Each instance that takes callers now holds an equal part of a workspace's quota as a token bucket, and instances borrow tokens from each other with the mechanism of the rates that targets state. What both need is in rate/allocation.py; the messages share a UDP socket.

A request without a token waits while others are asked, at most a fifth of the objective of its route, and is then answered 429 with Retry-After; at once while nobody has any. A request that was refused without a run gives its token back.

--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -4,6 +4,7 @@
 
 from savorycross.forward import scatter_gather
 from savorycross.forward import single_call
+from savorycross.quota import gate as gates
 from savorycross.route import route as routes
 from savorycross.route import weighted_round_robin
 
@@ -29,15 +30,20 @@
     :param engine: Engine.
     :param read_lag_s: callable that returns the seconds by which the event
         loop runs late.
+    :param quotas: Quotas, or None if no workspace has one.
     """
 
-    def __init__(self, engine, read_lag_s=lambda: 0.0):
+    def __init__(self, engine, read_lag_s=lambda: 0.0, quotas=None):
         self.configuration = None
         self.end_at = math.inf
         self._return_at = 0.0
         self._engine = engine
         self._read_lag_s = read_lag_s
         self._balancers = {}
+        self._quotas = quotas
+        self._gate = None
+        if quotas is not None:
+            self._gate = gates.Gate(quotas, engine.timers, engine.now)
 
     def adopt(self, configuration):
         """Put a configuration in force.
@@ -47,6 +53,10 @@
         self.configuration = configuration
         self._balancers = {}
         self._engine.target_registry.set_services(configuration.services)
+        if self._quotas is not None:
+            self._quotas.set_workspaces(
+                configuration.workspaces.workspaces, self._engine.now()
+            )
 
     def plan_end(self, end_at, return_at):
         """Forward nothing that would still run at the end of the instance.
@@ -90,7 +100,29 @@
         if route is None:
             self._refuse(call, respond, 404, 'no route')
             return None
-        return self._run(call, route, respond)
+        return self._admit(call, route, respond)
+
+    def _admit(self, call, route, respond):
+        """Run a call as soon as the quota of its workspace allows it."""
+        if self._gate is None or call.workspace is None:
+            return self._run(call, route, respond)
+
+        def refuse(return_at):
+            return_s = max(return_at - self._engine.now(), 0.0)
+            self._record_refusal(call, 429, 'quota')
+            respond(self._engine.dialect.make_refusal(429, return_s))
+
+        return self._gate.enter(
+            call.workspace,
+            call.received_at + gates.WAIT_PART * route.objective_s,
+            lambda: self._run(call, route, respond),
+            refuse,
+        )
+
+    def _give_back(self, call):
+        """Return the token of a call that certainly did not run."""
+        if self._quotas is not None:
+            self._quotas.give_back(call.workspace, self._engine.now())
 
     def _run(self, call, route, respond):
         engine = self._engine
@@ -111,6 +143,8 @@
 
         def end(reply, outcome):
             self._record_outcome(call, route, version, outcome, operation)
+            if outcome == 'refused':
+                self._give_back(call)
             respond(reply)
 
         if route.shape is routes.Shape.ALL:
@@ -155,6 +189,7 @@
     def _refuse_late(self, call, route, end_at, respond):
         """Refuse a call that would still run at the end of the instance."""
         self._record_refusal(call, 503, 'instance ends')
+        self._give_back(call)
         respond(
             self._engine.make_refusal(call, route, self._return_at, end_at)
         )
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -32,6 +32,9 @@
 from savorycross.metrics import process_usage
 from savorycross.metrics import registry
 from savorycross.overload import caller_subset
+from savorycross.quota import protocol as quota_protocol
+from savorycross.quota import quotas as workspace_quotas
+from savorycross.rate import protocol as rate_protocol
 from savorycross.rate import target_rates
 from savorycross.rate import transport as rate_transports
 from savorycross.wire import buffers
@@ -120,6 +123,7 @@
             self._make_pool, self.log
         )
         self._make_rates()
+        self._make_quotas()
         self._engine = engines.Engine(
             settings,
             self._adapter.make_dialect(),
@@ -135,7 +139,7 @@
             buffers=self._buffers,
         )
         self._gateway = gateways.Gateway(
-            self._engine, lambda: self._loop_load.lag_s
+            self._engine, lambda: self._loop_load.lag_s, self._quotas
         )
 
     def _make_rates(self):
@@ -152,8 +156,28 @@
             self.log,
             trio.current_time(),
         )
-        self._rate_transport.on_message = lambda message: (
-            self._rates.on_message(message, trio.current_time())
+        self._rate_transport.listen(
+            rate_protocol.decode,
+            lambda message: self._rates.on_message(
+                message, trio.current_time()
+            ),
+        )
+
+    def _make_quotas(self):
+        settings = self._settings
+        self._quotas = workspace_quotas.Quotas(
+            settings.name,
+            not settings.is_first_start,
+            settings.quota_limits,
+            self._rate_transport.send,
+            self._rng,
+            trio.current_time(),
+        )
+        self._rate_transport.listen(
+            quota_protocol.decode,
+            lambda message: self._quotas.on_message(
+                message, trio.current_time()
+            ),
         )
 
     def _find_rate_address(self, name):
@@ -362,7 +386,9 @@
     def _update_shares(self):
         now = trio.current_time()
         self._engine.set_shares(self._directory.shares(now))
-        self._rates.set_shares(self._directory.rate_shares(now), now)
+        rate_shares = self._directory.rate_shares(now)
+        self._rates.set_shares(rate_shares, now)
+        self._quotas.set_shares(rate_shares, now)
 
     def _count_instances(self):
         return self._peer_registry.count(trio.current_time())
--- /dev/null
+++ b/savorycross/quota/division.py
@@ -0,0 +1,94 @@
+"""Divides the quota of a workspace among the instances that take callers.
+
+Load pattern: a workspace sends at several times its quota, through instances
+that each get another part of its requests, while most workspaces stay far
+below theirs. The holders have equal parts, and borrow from each other.
+
+The bound allows more than the quota. Half of that is given to callers, so
+that none below the quota is refused because its tokens are elsewhere; the rest
+covers instances that disagree about the holders for a short time.
+"""
+
+import dataclasses
+
+from savorycross.gateway import instance_settings
+from savorycross.rate import borrowing
+from savorycross.rate import share
+
+# Part of the overage and slack that callers get.
+GIVEN_PART = 0.5
+# Tokens that an instance has lent, and that the borrower uses later, have
+# been refilled by then. They are used within this time, or not at all: a reply
+# counts until it is late, and the tokens lapse after as long.
+ON_THE_WAY_S = 0.1
+# Without bounds in the settings, quotas hold exactly in any such window.
+DEFAULT_LIMITS = instance_settings.QuotaLimits(5.0, 0.0, 0.0)
+# A holder keeps the tokens of this time at least, as after all were asked in
+# vain nobody is asked for as long.
+MIN_BURST_S = borrowing.PAUSE_S
+# Smallest part of the rate that is granted, however small the bound is.
+MIN_RATE_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """What all instances together admit for a workspace.
+
+    :param rate_per_s: requests a second.
+    :param burst: requests that may be admitted at once after a pause.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+def make_grant(workspace, limits):
+    """Return the Grant of a workspace with a quota.
+
+    :param workspace: Workspace.
+    :param limits: QuotaLimits.
+
+    >>> from savorycross.workspace.workspace import Workspace
+    >>> limits = instance_settings.QuotaLimits(5.0, 0.1, 20.0)
+    >>> grant = make_grant(Workspace('a', 0, 22.0, 22.0), limits)
+    >>> round(grant.rate_per_s, 1), round(grant.burst, 1)
+    (23.1, 33.1)
+    """
+    rate_per_s, window_s = workspace.rate_per_s, limits.window_s
+    allowed = rate_per_s * window_s + workspace.burst
+    bound = allowed * (1.0 + limits.overage) + limits.slack
+    factor = 1.0 + GIVEN_PART * limits.overage
+    given = workspace.burst * factor + GIVEN_PART * limits.slack
+    # A holder needs a whole token to admit anything.
+    burst = max(given, MIN_BURST_S * rate_per_s, 1.0)
+    longest_s = window_s + ON_THE_WAY_S
+    granted = min(rate_per_s * factor, (bound - burst) / longest_s)
+    return Grant(max(granted, MIN_RATE_PART * rate_per_s), burst)
+
+
+def count_holders(grant, shares):
+    """Return how many of the senders hold a part, those ranked first.
+
+    Each holder can keep a whole token, without which it admits nothing.
+
+    :param shares: LimitShares.
+    """
+    return max(min(int(grant.burst), len(shares.senders)), 1)
+
+
+def divide(grant, shares, name):
+    """Return the RateShare of an instance.
+
+    :param grant: Grant of the workspace.
+    :param shares: LimitShares of the instance.
+    :param name: name of the workspace.
+
+    >>> from savorycross.overload.shares import LimitShares
+    >>> shares = LimitShares('a', frozenset('abcd'))
+    >>> divide(Grant(20.0, 10.0), shares, 'w')
+    RateShare(rate_per_s=5.0, burst=2.5)
+    """
+    count = count_holders(grant, shares)
+    if not shares.is_sender or not shares.units(count, name):
+        return share.RateShare()
+    return share.RateShare(grant.rate_per_s / count, grant.burst / count)
--- /dev/null
+++ b/savorycross/quota/quotas.py
@@ -0,0 +1,197 @@
+"""Admits the requests of workspaces within their quotas.
+
+Instances lend each other tokens; see ``quota.protocol``.
+
+Load pattern: 80 workspaces that send what they are allowed or less, and one
+that sends five times that for seconds, through nine to twelve instances. Each
+request takes a token before it is forwarded. One that lacks a token waits
+while other instances are asked, and all are refused at once while nobody has
+any.
+
+Source of the method: Raghavan, Vishwanath, Ramabhadran, Yocum and Snoeren,
+"Cloud Control with Distributed Rate Limiting", SIGCOMM, 2007; the parts are
+static here, and lending takes the place of estimates of the demand, which
+could exceed the rate.
+"""
+
+import dataclasses
+import enum
+
+from savorycross.overload import share_views
+from savorycross.overload import shares as limit_shares
+from savorycross.quota import division
+from savorycross.quota import protocol
+from savorycross.quota import workspace_quota
+
+
+class Outcome(enum.Enum):
+    """What becomes of a request: it may run, waits for a token, or not."""
+
+    ADMITTED = 'admitted'
+    WAIT = 'wait'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """The answer to a request of a workspace.
+
+    :param at: runtime clock time until which it waits, or at which a refused
+        caller is to return.
+    """
+
+    outcome: Outcome
+    at: float = 0.0
+
+
+ADMITTED = Admission(Outcome.ADMITTED)
+
+
+class Quotas:
+    """The quotas of all workspaces, and this instance's parts of them.
+
+    :param own_name: name of this instance.
+    :param is_successor: whether another process may have run in its place,
+        whose requests still count.
+    :param limits: QuotaLimits, or None for exact ones.
+    :param send: callable that takes the name of an instance and a
+        QuotaMessage; it may lose it.
+    :param rng: random.Random.
+    :param now: runtime clock time in seconds.
+    """
+
+    def __init__(self, own_name, is_successor, limits, send, rng, now):
+        self._own_name = own_name
+        self._is_successor = is_successor
+        self._limits = limits or division.DEFAULT_LIMITS
+        self._send = send
+        self._rng = rng
+        self._by_name = {}
+        self._views = share_views.ShareViews(
+            limit_shares.LimitShares(own_name, frozenset({own_name})),
+            share_views.VIEW_SPREAD_S,
+        )
+        if is_successor:
+            nothing = limit_shares.LimitShares(own_name, frozenset())
+            self._views.retain(nothing, now)
+        self._on_tokens = lambda name: None
+
+    def subscribe(self, on_tokens):
+        """Set the callable that hears that requests may find a token now.
+
+        It also hears that other instances have none.
+
+        :param on_tokens: callable that takes the name of a workspace.
+        """
+        self._on_tokens = on_tokens
+
+    def set_shares(self, shares, now):
+        """Set which instances hold parts of the quotas.
+
+        :param shares: LimitShares.
+        """
+        if shares != self._views.shares:
+            self._views.replace(shares, now)
+
+    def set_workspaces(self, workspaces, now):
+        """Put the quotas of a configuration in force.
+
+        A new quota begins with all tokens, as what was admitted before it
+        does not count. The first configuration of an instance that replaces
+        another has none, as that one may have spent them.
+
+        :param workspaces: Workspaces.
+        """
+        views = self._views.binding(now)
+        known, self._by_name = self._by_name, {}
+        for workspace in workspaces:
+            if not workspace.has_quota:
+                continue
+            name = workspace.name
+            grant = division.make_grant(workspace, self._limits)
+            quota = known.get(name)
+            if quota is not None:
+                quota.set_grant(grant, views, now)
+            else:
+                quota = workspace_quota.WorkspaceQuota(grant, name, now)
+                if not self._is_successor:
+                    quota.allocation.fill(views, now)
+            self._by_name[name] = quota
+        self._is_successor = False
+
+    def admit(self, workspace, until, now, ahead=0, behind=0):
+        """Return the Admission of a request; it takes a token if admitted.
+
+        :param workspace: Workspace of the request, or None.
+        :param until: runtime clock time until which it can wait.
+        :param ahead: number of requests of the workspace that wait before it.
+        :param behind: number of those that wait after it.
+        """
+        quota = self._find(workspace)
+        if quota is None:
+            return ADMITTED
+        views = self._views.binding(now)
+        if not ahead and quota.take(views, now):
+            return ADMITTED
+        if now < until:
+            self._borrow(quota, ahead + 1 + behind, now)
+            if quota.expect_token(
+                ahead, views, now
+            ) <= until or self._may_borrow(quota, now):
+                return Admission(Outcome.WAIT, until)
+        return_at = quota.choose_return_at(len(views[0].senders), now)
+        return Admission(Outcome.REFUSED, return_at)
+
+    def give_back(self, workspace, now):
+        """Return the token of a request that certainly did not run.
+
+        :param workspace: Workspace of the request, or None.
+        """
+        quota = self._find(workspace)
+        if quota is None:
+            return
+        quota.allocation.filled(self._views.binding(now), now).add(1, now)
+        self._on_tokens(quota.name)
+
+    def on_message(self, message, now):
+        """Handle a QuotaMessage of another instance."""
+        quota = self._by_name.get(message.workspace)
+        if message.is_request:
+            lent = 0
+            if quota is not None:
+                lent = quota.allocation.lend(
+                    message.tokens, self._views.binding(now), now
+                )
+            self._send_tokens(message.sender, message.workspace, lent)
+        elif quota is not None:
+            self._on_reply(quota, message, now)
+
+    def _on_reply(self, quota, message, now):
+        asking = quota.allocation.borrowing
+        # Tokens of a late reply are not used, as the lender has refilled.
+        tokens = message.tokens if asking.is_waiting(now) else 0
+        if asking.record_reply(message.sender, tokens, now):
+            quota.allocation.borrow(tokens, now)
+            self._on_tokens(quota.name)
+
+    def _find(self, workspace):
+        return self._by_name.get(workspace.name) if workspace else None
+
+    def _may_borrow(self, quota, now):
+        return not quota.allocation.borrowing.is_paused(now) and bool(
+            quota.list_lenders(self._views.shares)
+        )
+
+    def _borrow(self, quota, wanted, now):
+        lender = quota.allocation.borrowing.choose(
+            quota.list_lenders(self._views.shares), self._rng, now
+        )
+        if lender is not None:
+            tokens = min(wanted, protocol.MAX_TOKENS)
+            self._send_tokens(lender, quota.name, tokens, is_request=True)
+
+    def _send_tokens(self, name, workspace, tokens, is_request=False):
+        message = protocol.QuotaMessage(
+            protocol.FORMAT, self._own_name, is_request, workspace, tokens
+        )
+        self._send(name, message)
--- /dev/null
+++ b/savorycross/quota/workspace_quota.py
@@ -0,0 +1,96 @@
+"""The quota of one workspace, as far as this instance grants it."""
+
+import math
+
+from savorycross.quota import division
+from savorycross.rate import allocation
+from savorycross.rate import borrowing
+
+# Time after which a reply counts as lost; requests wait for it, and most of
+# them have an objective of some tenths of a second.
+REPLY_S = 0.04
+# Borrowed tokens are for requests that wait, which take them at once.
+BORROWED_S = 0.05
+# Callers are told to return no later than this, as the quota may be raised.
+MAX_RETURN_S = 5.0
+
+
+class WorkspaceQuota:
+    """This instance's part of the quota of a workspace.
+
+    ``allocation`` holds its tokens.
+
+    :param grant: Grant of the workspace.
+    :param name: name of the workspace.
+    :param now: runtime clock time in seconds.
+    """
+
+    def __init__(self, grant, name, now):
+        self.grant = grant
+        self.name = name
+        self.allocation = allocation.Allocation(
+            name,
+            now,
+            lambda shares: division.divide(self.grant, shares, name),
+            borrowing.Borrowing(REPLY_S),
+            BORROWED_S,
+        )
+        self._returned_until = now
+
+    def set_grant(self, grant, views, now):
+        """Put another Grant in force; more burst can be used at once.
+
+        :param views: see ``rate.allocation.Allocation``.
+        """
+        if grant == self.grant:
+            return
+        bucket = self.allocation.filled(views, now)
+        before = bucket.burst
+        self.grant = grant
+        self.allocation.reset_views()
+        bucket = self.allocation.filled(views, now)
+        bucket.add(bucket.burst - before, now)
+
+    def take(self, views, now):
+        """Take a token; return whether there was one."""
+        if self.allocation.filled(views, now).take(now):
+            return True
+        self.allocation.record_lack(now)
+        return False
+
+    def expect_token(self, waiting, views, now):
+        """Return when this instance's part has a token for a request.
+
+        :param waiting: number of requests that go before it.
+        :returns: runtime clock time in seconds; infinity if it has no part.
+        """
+        bucket = self.allocation.filled(views, now)
+        missing = max(waiting + 1.0 - bucket.expect(now, now), 0.0)
+        if not missing:
+            return now
+        if not bucket.rate_per_s:
+            return math.inf
+        return now + missing / bucket.rate_per_s
+
+    def list_lenders(self, shares):
+        """Return the other instances that have a part of the quota.
+
+        :param shares: LimitShares in force.
+        """
+        count = division.count_holders(self.grant, shares)
+        holders = self.allocation.list_holders(shares, count)
+        return [name for name in holders if name != shares.own]
+
+    def choose_return_at(self, senders, now):
+        """Return when a refused caller is to come back.
+
+        The callers that this instance refuses get the tokens of an equal part
+        one after the other, so that they do not return together in vain.
+
+        :param senders: number of instances that take callers.
+        :returns: runtime clock time in seconds.
+        """
+        interval_s = max(senders, 1) / self.grant.rate_per_s
+        return_at = max(self._returned_until, now) + interval_s
+        self._returned_until = min(return_at, now + MAX_RETURN_S)
+        return self._returned_until
--- a/savorycross/rate/borrowing.py
+++ b/savorycross/rate/borrowing.py
@@ -13,9 +13,13 @@
 
 
 class Borrowing:
-    """Asks the holders of the parts of one target's rate in turn."""
+    """Asks the holders of the parts of one rate in turn.
 
-    def __init__(self):
+    :param reply_s: seconds after which a reply counts as lost.
+    """
+
+    def __init__(self, reply_s=REPLY_S):
+        self._reply_s = reply_s
         self._untried = []
         self._is_in_round = False
         self._reply_until = 0.0
@@ -52,7 +56,7 @@
         if not self._untried:
             self._paused_until = now + PAUSE_S
             return None
-        self._reply_until = now + REPLY_S
+        self._reply_until = now + self._reply_s
         self._asked = self._untried.pop()
         return self._asked
 
--- a/savorycross/rate/bucket.py
+++ b/savorycross/rate/bucket.py
@@ -19,6 +19,7 @@
     It starts empty and without a rate.
 
     :param now: runtime clock time in seconds.
+    :param borrowed_s: seconds after which borrowed tokens lapse.
 
     >>> bucket = TokenBucket(0.0)
     >>> bucket.set_rate(2.0, 3.0, 0.0)
@@ -26,13 +27,14 @@
     (1, 3)
     """
 
-    def __init__(self, now):
+    def __init__(self, now, borrowed_s=BORROWED_S):
         self.rate_per_s = 0.0
-        self._burst = 0.0
+        self.burst = 0.0
         self._tokens = 0.0
         self._refilled_at = now
         self._borrowed = 0
         self._borrowed_until = now
+        self._borrowed_s = borrowed_s
 
     def set_rate(self, rate_per_s, burst, now):
         """Set the rate of the refill and the most tokens that are kept.
@@ -42,7 +44,7 @@
         """
         self._refill(now)
         self.rate_per_s = rate_per_s
-        self._burst = burst
+        self.burst = burst
         self._tokens = min(self._tokens, burst)
 
     def empty(self, now):
@@ -51,6 +53,14 @@
         self._tokens = 0.0
         self._borrowed = 0
 
+    def add(self, n, now):
+        """Add tokens, as far as they are kept; a negative number adds none.
+
+        :param n: number of tokens, with fractions.
+        """
+        self._refill(now)
+        self._tokens = min(self._tokens + max(n, 0.0), self.burst)
+
     def count(self, now):
         """Return the number of whole tokens."""
         self._refill(now)
@@ -62,7 +72,7 @@
         The reserve is half of the burst; a full bucket always has more.
         """
         self._refill(now)
-        needed = min(1.0 + RESERVED_PART * self._burst, self._burst)
+        needed = min(1.0 + RESERVED_PART * self.burst, self.burst)
         return self._borrowed > 0 or self._tokens + TOLERANCE >= needed > 0.0
 
     def expect(self, until, now):
@@ -105,7 +115,7 @@
         """Add tokens that another instance has lent."""
         self._refill(now)
         self._borrowed += n
-        self._borrowed_until = now + BORROWED_S
+        self._borrowed_until = now + self._borrowed_s
 
     def _refill(self, now):
         if now >= self._borrowed_until:
@@ -113,5 +123,5 @@
         elapsed_s = max(now - self._refilled_at, 0.0)
         self._refilled_at = now
         self._tokens = min(
-            self._tokens + elapsed_s * self.rate_per_s, self._burst
+            self._tokens + elapsed_s * self.rate_per_s, self.burst
         )
--- a/savorycross/rate/limiter.py
+++ b/savorycross/rate/limiter.py
@@ -2,14 +2,10 @@
 
 import math
 
-from savorycross.rate import borrowing
-from savorycross.rate import bucket
+from savorycross.rate import allocation
 from savorycross.rate import share
 from savorycross.rate import statement
 
-# Sends that wait are tried again more often, so an instance whose sends lack
-# tokens has recorded that within this time.
-LACKING_S = 0.05
 # Other instances are told when a limit begins, ends or falls by this fraction.
 # They learn of smaller changes from the answers that they get.
 TOLD_DECREASE = 0.1
@@ -21,8 +17,7 @@
     """Limits the sends to a target that states how many it takes.
 
     ``statement`` is what the target last said. Without a limit in it all
-    sends are allowed, and none is counted. ``borrowing`` chooses whom to ask
-    for tokens.
+    sends are allowed, and none is counted.
 
     :param target_id: id of the target.
     :param now: runtime clock time in seconds.
@@ -33,15 +28,18 @@
 
     def __init__(self, target_id, now, divide=share.divide):
         self.statement = statement.Statement()
-        self.borrowing = borrowing.Borrowing()
         self._told_per_s = None
         self._tell_at = now
-        self._target_id = target_id
-        self._divide = divide
-        self._bucket = bucket.TokenBucket(now)
-        self._views = None
-        self._ranking = None, ()
-        self._lacking_until = now
+        self._allocation = allocation.Allocation(
+            target_id,
+            now,
+            lambda view: divide(self.statement.rate_per_s, view, target_id),
+        )
+
+    @property
+    def borrowing(self):
+        """The Borrowing that chooses whom to ask for tokens."""
+        return self._allocation.borrowing
 
     @property
     def is_limited(self):
@@ -59,10 +57,10 @@
         if new.rate_per_s == previous.rate_per_s:
             return False
         if previous.rate_per_s is None:
-            self._bucket.empty(now)
-        self._views = None
+            self._allocation.empty(now)
+        self._allocation.reset_views()
         if self.is_limited:
-            self._filled(views, now)
+            self._allocation.filled(views, now)
         return True
 
     def record_told(self, now):
@@ -93,7 +91,7 @@
         """
         if not self.is_limited:
             return True
-        filled = self._filled(views, now)
+        filled = self._allocation.filled(views, now)
         if keeps_reserve:
             return filled.has_more_than_reserve(now)
         return filled.count(now) > 0
@@ -105,18 +103,18 @@
         """
         if not self.is_limited:
             return False
-        return self._filled(views, now).take(now)
+        return self._allocation.filled(views, now).take(now)
 
     def charge(self, views, now):
         """Count a request that is sent whether or not the limit allows it."""
         if self.is_limited:
-            self._filled(views, now).charge(now)
+            self._allocation.filled(views, now).charge(now)
 
     def next_send_at(self, views, now):
         """Return the runtime clock time at which a send is allowed."""
         if not self.is_limited:
             return now
-        filled = self._filled(views, now)
+        filled = self._allocation.filled(views, now)
         missing = max(1.0 - filled.expect(now, now), 0.0)
         if missing and not filled.rate_per_s:
             return math.inf
@@ -124,51 +122,31 @@
 
     def expect(self, views, until, now):
         """Return the tokens that there will be at a time, with fractions."""
-        return self._filled(views, now).expect(until, now)
+        return self._allocation.filled(views, now).expect(until, now)
 
     def rate_per_s(self, views, now):
         """Return this instance's part of the rate."""
-        return self._filled(views, now).rate_per_s
+        return self._allocation.filled(views, now).rate_per_s
 
     def list_holders(self, shares):
         """Return the names of the instances that have a part of the rate.
 
         :param shares: LimitShares in force.
         """
-        ranked_shares, ranked = self._ranking
-        if ranked_shares is not shares:
-            ranked = shares.rank(self._target_id)
-            self._ranking = shares, ranked
-        return ranked[: share.count_holders(self.statement.rate_per_s, shares)]
+        count = share.count_holders(self.statement.rate_per_s, shares)
+        return self._allocation.list_holders(shares, count)
 
     def record_lack(self, now):
         """Record that a send was not allowed."""
-        self._lacking_until = now + LACKING_S
+        self._allocation.record_lack(now)
 
     def lend(self, wanted, views, now):
-        """Take out tokens for another instance whose sends lack them.
-
-        An instance whose own sends lacked tokens just now lends none.
-
-        :param wanted: number of tokens that it asks for.
-        :returns: number of tokens that it may use.
-        """
-        if not self.is_limited or now < self._lacking_until:
+        """Take out tokens for another instance; see ``Allocation.lend``."""
+        if not self.is_limited:
             return 0
-        return self._filled(views, now).lend(wanted, now)
+        return self._allocation.lend(wanted, views, now)
 
     def borrow(self, n, now):
         """Add tokens that another instance has lent."""
         if self.is_limited:
-            self._bucket.borrow(n, now)
-
-    def _filled(self, views, now):
-        """Return the bucket, refilled at the rate of the views."""
-        if views is not self._views:
-            self._views = views
-            part = share.smallest(
-                self._divide(self.statement.rate_per_s, v, self._target_id)
-                for v in views
-            )
-            self._bucket.set_rate(part.rate_per_s, part.burst, now)
-        return self._bucket
+            self._allocation.borrow(n, now)
--- a/savorycross/rate/transport.py
+++ b/savorycross/rate/transport.py
@@ -1,10 +1,10 @@
-"""Exchanges the messages about rates over UDP."""
+"""Exchanges the messages about rates and quotas over UDP."""
 
 import socket
 
+import msgspec
 import trio
 
-from savorycross.rate import protocol
 from savorycross.wire import binding
 
 MAX_DATAGRAM_BYTES = 16384
@@ -14,9 +14,7 @@
 
 
 class RateTransport:
-    """Sends and receives RateMessages on one UDP socket.
-
-    ``on_message``, called with each message received, is set before ``run``.
+    """Sends and receives messages of several types on one UDP socket.
 
     :param address: host and port to bind.
     :param find_address: callable that takes the name of an instance and
@@ -29,12 +27,22 @@
         self._find_address = find_address
         self._metrics = metrics
         self._outgoing, self._queue = trio.open_memory_channel(MAX_QUEUED)
-        self.on_message = lambda message: None
+        self._listeners = []
+
+    def listen(self, decode, on_message):
+        """Handle messages of one type.
+
+        :param decode: callable that takes bytes and returns a message; it
+            raises ValueError if they encode none of this type.
+        :param on_message: called with each message of the type.
+        """
+        self._listeners.append((decode, on_message))
 
     def send(self, name, message):
         """Queue a message; it is lost if the instance is not known.
 
         :param name: name of the instance that gets it.
+        :param message: msgspec Struct of a type that others listen to.
         """
         address = self._find_address(name)
         if address is None:
@@ -57,7 +65,7 @@
     async def _send_now(self, sock, address, message):
         self._metrics.count('rate_messages', direction='sent')
         try:
-            await sock.sendto(protocol.encode(message), address)
+            await sock.sendto(msgspec.msgpack.encode(message), address)
         except OSError:
             self._metrics.count('rate_send_errors')
 
@@ -68,9 +76,14 @@
             except OSError:
                 self._metrics.count('rate_receive_errors')
                 continue
+            self._handle(data)
+
+    def _handle(self, data):
+        for decode, on_message in self._listeners:
             try:
-                message = protocol.decode(data)
+                message = decode(data)
             except ValueError:
-                self._metrics.count('rate_messages_invalid')
                 continue
-            self.on_message(message)
+            on_message(message)
+            return
+        self._metrics.count('rate_messages_invalid')
