Keep quotas while instances are silent, and tell who is limited

Both sides of a partition divided a quota among the instances that they heard, and so admitted up to twice the quota together. A silent instance now keeps its part until the store has removed its entry. An instance that has not renewed its entry in time, and does not hear most holders, uses a tenth of its part.

One log line tells when a workspace begins to be limited and one when it is limited no longer; metrics count refusals, messages and borrowed tokens.

--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -119,6 +119,10 @@
             refuse,
         )
 
+    def count_held(self):
+        """Return how many requests wait for a token of their workspace."""
+        return self._gate.count_waiting() if self._gate is not None else 0
+
     def _give_back(self, call):
         """Return the token of a call that certainly did not run."""
         if self._quotas is not None:
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -32,6 +32,7 @@
 from savorycross.metrics import process_usage
 from savorycross.metrics import registry
 from savorycross.overload import caller_subset
+from savorycross.quota import holders as quota_holders
 from savorycross.quota import protocol as quota_protocol
 from savorycross.quota import quotas as workspace_quotas
 from savorycross.rate import protocol as rate_protocol
@@ -51,6 +52,9 @@
 MAX_SUSPENSION_S = 0.3
 METRICS_CONTENT_TYPE = b'text/plain; version=0.0.4'
 STOP_CHECK_INTERVAL_S = 0.05
+# An instance counts its lease as ended earlier by this time: that of a call
+# that renews it, and of the news of its end.
+LEASE_MARGIN_S = 4.0
 # Callers keep a directory answer up to this many times its time to live.
 DIRECTORY_TTL_FACTOR = 3.5
 
@@ -171,6 +175,14 @@
             settings.quota_limits,
             self._rate_transport.send,
             self._rng,
+            self.log,
+            self.metrics,
+            trio.current_time(),
+        )
+        self._quota_holders = quota_holders.Holders(
+            settings.name,
+            announcers.LEASE_TTL_S,
+            LEASE_MARGIN_S,
             trio.current_time(),
         )
         self._rate_transport.listen(
@@ -243,7 +255,7 @@
             self._own_key,
             self._own_peer,
             self.log,
-            self._follower.note_answer,
+            self._on_announced,
             self._follower.note_failure,
         )
         self._mirror_sync = mirror_sync.MirrorSynchronizer(
@@ -368,7 +380,13 @@
             self._directory.is_ready = True
             self.log.event('instance.ready', version=self._gateway.version)
 
+    def _on_announced(self):
+        self._quota_holders.record_renewal(trio.current_time())
+        self._follower.note_answer()
+
     def _on_peer_item(self, key, item):
+        if item is None:
+            self._quota_holders.record_removal(key)
         if key == self._own_key:
             if item is None and not self._is_stopping:
                 self._announcer.rewrite_key()
@@ -380,6 +398,7 @@
         except ValueError as exc:
             self.log.event('instance.invalid', key=key, reason=str(exc))
             return
+        self._quota_holders.record_entry(key, peer.name)
         self._peer_registry.register(peer, trio.current_time())
         self._update_shares()
 
@@ -388,7 +407,10 @@
         self._engine.set_shares(self._directory.shares(now))
         rate_shares = self._directory.rate_shares(now)
         self._rates.set_shares(rate_shares, now)
-        self._quotas.set_shares(rate_shares, now)
+        serving = {p.name for p in self._peer_registry.serving_peers(now)}
+        self._quotas.set_view(
+            self._quota_holders.choose(rate_shares, serving, now), now
+        )
 
     def _count_instances(self):
         return self._peer_registry.count(trio.current_time())
@@ -410,6 +432,7 @@
             self._memory_guard.check()
             self._update_readiness()
             self._update_shares()
+            self._quotas.maintain(now)
             total_s = _read_suspended_s()
             if total_s - suspended_s > MAX_SUSPENSION_S:
                 self.log.event('instance.woke', stood_s=total_s - suspended_s)
@@ -441,6 +464,8 @@
         gauge('buffer_limit_bytes', self._buffers.limit_bytes)
         gauge('budgets_spent', self._engine.count_exhausted_budgets(now))
         gauge('waiting', self._engine.count_waiting())
+        gauge('workspaces_limited', self._quotas.count_limited())
+        gauge('quota_waiting', self._gateway.count_held())
         gauge('delegates', self._engine.delegates.count(now))
         usage = {
             'memory_bytes': process_usage.read_resident_bytes(),
--- a/savorycross/quota/division.py
+++ b/savorycross/quota/division.py
@@ -12,6 +12,7 @@
 import dataclasses
 
 from savorycross.gateway import instance_settings
+from savorycross.overload import shares as limit_shares
 from savorycross.rate import borrowing
 from savorycross.rate import share
 
@@ -21,6 +22,9 @@
 # been refilled by then. They are used within this time, or not at all: a reply
 # counts until it is late, and the tokens lapse after as long.
 ON_THE_WAY_S = 0.1
+# Part of its share that an instance uses whose share others may have; all of
+# them together stay within what is not given to callers.
+UNCERTAIN_PART = 0.1
 # Without bounds in the settings, quotas hold exactly in any such window.
 DEFAULT_LIMITS = instance_settings.QuotaLimits(5.0, 0.0, 0.0)
 # A holder keeps the tokens of this time at least, as after all were asked in
@@ -42,6 +46,18 @@
     burst: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderView:
+    """What this instance knows of the holders of parts.
+
+    :param shares: LimitShares among the holders.
+    :param is_certain: whether no other instance may have its part.
+    """
+
+    shares: limit_shares.LimitShares
+    is_certain: bool = True
+
+
 def make_grant(workspace, limits):
     """Return the Grant of a workspace with a quota.
 
@@ -76,19 +92,24 @@
     return max(min(int(grant.burst), len(shares.senders)), 1)
 
 
-def divide(grant, shares, name):
+def divide(grant, view, name):
     """Return the RateShare of an instance.
 
     :param grant: Grant of the workspace.
-    :param shares: LimitShares of the instance.
+    :param view: HolderView of the instance.
     :param name: name of the workspace.
 
-    >>> from savorycross.overload.shares import LimitShares
-    >>> shares = LimitShares('a', frozenset('abcd'))
-    >>> divide(Grant(20.0, 10.0), shares, 'w')
+    >>> shares = limit_shares.LimitShares('a', frozenset('abcd'))
+    >>> divide(Grant(20.0, 10.0), HolderView(shares), 'w')
     RateShare(rate_per_s=5.0, burst=2.5)
     """
+    shares = view.shares
     count = count_holders(grant, shares)
     if not shares.is_sender or not shares.units(count, name):
         return share.RateShare()
-    return share.RateShare(grant.rate_per_s / count, grant.burst / count)
+    part_per_s, burst = grant.rate_per_s / count, grant.burst / count
+    if view.is_certain:
+        return share.RateShare(part_per_s, burst)
+    return share.RateShare(
+        UNCERTAIN_PART * part_per_s, max(UNCERTAIN_PART * burst, 1.0)
+    )
--- a/savorycross/quota/quotas.py
+++ b/savorycross/quota/quotas.py
@@ -57,23 +57,35 @@
     :param send: callable that takes the name of an instance and a
         QuotaMessage; it may lose it.
     :param rng: random.Random.
+    :param log: EventLog.
+    :param metrics: metrics.registry.Registry.
     :param now: runtime clock time in seconds.
     """
 
-    def __init__(self, own_name, is_successor, limits, send, rng, now):
+    def __init__(
+        self,
+        own_name,
+        is_successor,
+        limits,
+        send,
+        rng,
+        log,
+        metrics,
+        now,
+    ):
         self._own_name = own_name
         self._is_successor = is_successor
         self._limits = limits or division.DEFAULT_LIMITS
         self._send = send
         self._rng = rng
+        self._log = log
+        self._metrics = metrics
         self._by_name = {}
         self._views = share_views.ShareViews(
-            limit_shares.LimitShares(own_name, frozenset({own_name})),
-            share_views.VIEW_SPREAD_S,
+            self._make_view({own_name}), share_views.VIEW_SPREAD_S
         )
         if is_successor:
-            nothing = limit_shares.LimitShares(own_name, frozenset())
-            self._views.retain(nothing, now)
+            self._views.retain(self._make_view(()), now)
         self._on_tokens = lambda name: None
 
     def subscribe(self, on_tokens):
@@ -85,13 +97,28 @@
         """
         self._on_tokens = on_tokens
 
-    def set_shares(self, shares, now):
+    def set_view(self, view, now):
         """Set which instances hold parts of the quotas.
 
-        :param shares: LimitShares.
+        :param view: HolderView.
         """
-        if shares != self._views.shares:
-            self._views.replace(shares, now)
+        if view != self._views.shares:
+            self._views.replace(view, now)
+
+    def maintain(self, now):
+        """Log the workspaces that are limited no longer."""
+        for quota in self._by_name.values():
+            if quota.end_limit(now):
+                self._log.event('workspace.freed', workspace=quota.name)
+
+    def count_limited(self):
+        """Return how many workspaces had a request refused lately."""
+        return sum(q.is_limited for q in self._by_name.values())
+
+    def _make_view(self, names):
+        return division.HolderView(
+            limit_shares.LimitShares(self._own_name, frozenset(names))
+        )
 
     def set_workspaces(self, workspaces, now):
         """Put the quotas of a configuration in force.
@@ -139,8 +166,19 @@
                 ahead, views, now
             ) <= until or self._may_borrow(quota, now):
                 return Admission(Outcome.WAIT, until)
-        return_at = quota.choose_return_at(len(views[0].senders), now)
-        return Admission(Outcome.REFUSED, return_at)
+        return self._refuse(quota, now)
+
+    def _refuse(self, quota, now):
+        self._metrics.count('quota_refusals')
+        if quota.record_refusal(now + self._limits.window_s):
+            self._log.event(
+                'workspace.limited',
+                workspace=quota.name,
+                rate_per_s=round(quota.grant.rate_per_s, 3),
+                holders=len(self._views.shares.shares.senders),
+            )
+        senders = len(self._views.shares.shares.senders)
+        return Admission(Outcome.REFUSED, quota.choose_return_at(senders, now))
 
     def give_back(self, workspace, now):
         """Return the token of a request that certainly did not run.
@@ -171,6 +209,7 @@
         # Tokens of a late reply are not used, as the lender has refilled.
         tokens = message.tokens if asking.is_waiting(now) else 0
         if asking.record_reply(message.sender, tokens, now):
+            self._metrics.count('quota_tokens_borrowed', tokens)
             quota.allocation.borrow(tokens, now)
             self._on_tokens(quota.name)
 
@@ -179,12 +218,12 @@
 
     def _may_borrow(self, quota, now):
         return not quota.allocation.borrowing.is_paused(now) and bool(
-            quota.list_lenders(self._views.shares)
+            quota.list_lenders(self._views.shares.shares)
         )
 
     def _borrow(self, quota, wanted, now):
         lender = quota.allocation.borrowing.choose(
-            quota.list_lenders(self._views.shares), self._rng, now
+            quota.list_lenders(self._views.shares.shares), self._rng, now
         )
         if lender is not None:
             tokens = min(wanted, protocol.MAX_TOKENS)
@@ -194,4 +233,5 @@
         message = protocol.QuotaMessage(
             protocol.FORMAT, self._own_name, is_request, workspace, tokens
         )
+        self._metrics.count('quota_messages')
         self._send(name, message)
--- a/savorycross/quota/workspace_quota.py
+++ b/savorycross/quota/workspace_quota.py
@@ -31,11 +31,12 @@
         self.allocation = allocation.Allocation(
             name,
             now,
-            lambda shares: division.divide(self.grant, shares, name),
+            lambda view: division.divide(self.grant, view, name),
             borrowing.Borrowing(REPLY_S),
             BORROWED_S,
         )
         self._returned_until = now
+        self._limited_until = None
 
     def set_grant(self, grant, views, now):
         """Put another Grant in force; more burst can be used at once.
@@ -51,6 +52,28 @@
         bucket = self.allocation.filled(views, now)
         bucket.add(bucket.burst - before, now)
 
+    def record_refusal(self, until):
+        """Record a refusal; return whether it is the first for some time.
+
+        :param until: runtime clock time until which the workspace counts as
+            limited.
+        """
+        is_first = self._limited_until is None
+        self._limited_until = until
+        return is_first
+
+    @property
+    def is_limited(self):
+        """Whether a request was refused a short time ago."""
+        return self._limited_until is not None
+
+    def end_limit(self, now):
+        """Return whether the workspace counts as limited no longer now."""
+        if self._limited_until is None or now < self._limited_until:
+            return False
+        self._limited_until = None
+        return True
+
     def take(self, views, now):
         """Take a token; return whether there was one."""
         if self.allocation.filled(views, now).take(now):
--- a/tests/quota/fleet.py
+++ b/tests/quota/fleet.py
@@ -7,12 +7,15 @@
 import msgspec
 
 from savorycross.gateway import instance_settings
+from savorycross.metrics import registry
 from savorycross.overload import shares
+from savorycross.quota import division
 from savorycross.quota import gate
 from savorycross.quota import protocol
 from savorycross.quota import quotas
 from savorycross.wire import timers
 from savorycross.workspace import workspace
+from tests import null_log
 
 LIMITS = instance_settings.QuotaLimits(5.0, 0.1, 20.0)
 TYPICAL = workspace.Workspace('w', 0, 22.0, 22.0)
@@ -24,7 +27,8 @@
     """Instances, their messages and what they admitted.
 
     ``admitted`` and ``refused`` are the times of the requests. ``loses``
-    tells which messages are lost.
+    tells which messages are lost, and ``frozen`` until when instances stand
+    still, by name.
 
     :param count: number of instances, all of which hold parts.
     :param limited: Workspace.
@@ -38,6 +42,7 @@
         self.waits = []
         self.messages = 0
         self.loses = lambda sender, receiver: False
+        self.frozen = {}
         self.rng = random.Random(1)
         self.limited = limited
         self.quotas = {}
@@ -58,19 +63,28 @@
             self._limits,
             lambda to, message: self._send(name, to, message),
             self.rng,
+            null_log.NullLog(),
+            registry.Registry(),
             self.now,
         )
-        started.set_shares(self._shares(name, self.names), self.now)
+        started.set_view(_make_view(name, self.names), self.now)
         started.set_workspaces([self.limited], self.now)
         self.quotas[name] = started
         self._gates[name] = gate.Gate(started, self._timers, lambda: self.now)
 
     def set_holders(self, name, names):
         """Tell an instance which instances hold parts."""
-        self.quotas[name].set_shares(self._shares(name, names), self.now)
+        self.set_view(name, _make_view(name, names))
+
+    def set_view(self, name, view):
+        """Put a HolderView in force at an instance."""
+        self.quotas[name].set_view(view, self.now)
 
     def request(self, name):
         """Let a caller send a request to an instance."""
+        if self.now < (until := self.frozen.get(name, 0.0)):
+            self._push(until, lambda: self.request(name))
+            return
         sent_at = self.now
 
         def start():
@@ -106,9 +120,7 @@
                 break
             self.now = max(self.now, min(times))
             while self._events and self._events[0][0] <= self.now:
-                _, _, to, data = heapq.heappop(self._events)
-                message = protocol.decode(data)
-                self.quotas[to].on_message(message, self.now)
+                heapq.heappop(self._events)[2]()
             self._timers.run_due(self.now)
         self.now = until
 
@@ -129,13 +141,24 @@
         allowed = limited.rate_per_s * limits.window_s + limited.burst
         return allowed * (1.0 + limits.overage) + limits.slack
 
-    def _shares(self, name, names):
-        return shares.LimitShares(name, frozenset(names))
-
     def _send(self, sender, receiver, message):
         self.messages += 1
         if self.loses(sender, receiver):
             return
         at = self.now + self._latency_s * self.rng.uniform(0.5, 1.5)
         data = msgspec.msgpack.encode(message)
-        heapq.heappush(self._events, (at, next(self._order), receiver, data))
+        self._push(at, lambda: self._deliver(receiver, data))
+
+    def _deliver(self, receiver, data):
+        if self.now < (until := self.frozen.get(receiver, 0.0)):
+            self._push(until, lambda: self._deliver(receiver, data))
+            return
+        message = protocol.decode(data)
+        self.quotas[receiver].on_message(message, self.now)
+
+    def _push(self, at, call):
+        heapq.heappush(self._events, (at, next(self._order), call))
+
+
+def _make_view(name, names):
+    return division.HolderView(shares.LimitShares(name, frozenset(names)))
--- /dev/null
+++ b/tests/quota/test_failures.py
@@ -0,0 +1,95 @@
+"""Tests of quotas while instances fail; each injects one failure."""
+
+import dataclasses
+
+import pytest
+
+from savorycross.gateway import instance_settings
+from tests.quota import fleet
+
+# Without tolerance, so that a small excess is seen.
+EXACT = instance_settings.QuotaLimits(5.0, 0.0, 0.0)
+LOAD_PER_S = 5 * fleet.TYPICAL.rate_per_s
+
+
+def _run(instances, seconds, names=None):
+    names = names or instances.names
+    instances.run(seconds, LOAD_PER_S, lambda: instances.rng.choice(names))
+
+
+# Guards against processes that start with the burst of those they replace.
+def test_restarts_do_not_add_to_the_quota():
+    instances = fleet.Fleet(9, limits=EXACT)
+    for turn in range(20):
+        _run(instances, 0.5)
+        for name in instances.names[turn % 3 :: 3]:
+            instances.start(name, is_successor=True)
+    assert instances.most_in_window() <= instances.bound
+
+
+@pytest.mark.parametrize('freeze_s', [1.0, 3.0, 8.0])
+def test_freeze_and_resume_keep_the_quota(freeze_s):
+    instances = fleet.Fleet(9, limits=EXACT)
+    _run(instances, 2.0)
+    for name in instances.names[:5]:
+        instances.frozen[name] = instances.now + freeze_s
+    _run(instances, freeze_s + 6.0)
+    assert instances.most_in_window() <= instances.bound
+
+
+# A token that was lent in a lost message is used by nobody.
+@pytest.mark.parametrize(('loss', 'used'), [(0.02, 0.95), (0.2, 0.8)])
+def test_lost_messages_neither_exceed_nor_waste_the_quota(loss, used):
+    instances = fleet.Fleet(12)
+    instances.loses = lambda sender, to: instances.rng.random() < loss
+    _run(instances, 20.0, instances.names[:3])
+    assert instances.most_in_window() <= instances.bound
+    allowed = 20.0 * fleet.TYPICAL.rate_per_s + fleet.TYPICAL.burst
+    assert len(instances.admitted) >= used * allowed
+
+
+# Guards against requests that wait for an instance that has just ended.
+def test_instance_that_ended_delays_requests_but_not_beyond_their_wait():
+    instances = fleet.Fleet(9)
+    dead = instances.names[0]
+    instances.loses = lambda sender, to: dead in (sender, to)
+    _run(instances, 10.0, instances.names[1:])
+    assert max(instances.waits) <= fleet.WAIT_S + 1e-9
+    used = len(instances.admitted) / (10.0 * fleet.TYPICAL.rate_per_s)
+    assert used >= 0.9
+
+
+# Guards against holders that gain parts before others have lost theirs.
+@pytest.mark.parametrize('delay_s', [0.0, 0.9])
+def test_changes_of_the_holders_keep_the_quota(delay_s):
+    instances = fleet.Fleet(12, limits=EXACT)
+    gaining, losing = instances.names[:6], instances.names[6:]
+    for _ in range(6):
+        for name in gaining:
+            instances.set_holders(name, gaining)
+        _run(instances, delay_s)
+        for name in losing:
+            instances.set_holders(name, gaining)
+        _run(instances, 1.5)
+        gaining, losing = losing, gaining
+    assert instances.most_in_window() <= instances.bound
+
+
+def test_lowered_quota_binds_after_a_window_and_a_raised_one_at_once():
+    instances = fleet.Fleet(9)
+    _run(instances, 6.0)
+    for rate_per_s, settle_s in ((5.0, 5.0), (60.0, 0.0)):
+        instances.limited = dataclasses.replace(
+            fleet.TYPICAL, rate_per_s=rate_per_s
+        )
+        for tested in instances.quotas.values():
+            tested.set_workspaces([instances.limited], instances.now)
+        _run(instances, settle_s)
+        instances.admitted.clear()
+        instances.run(
+            5.0,
+            5 * rate_per_s,
+            lambda: instances.rng.choice(instances.names),
+        )
+        assert instances.most_in_window() <= instances.bound
+        assert len(instances.admitted) >= 0.9 * 5.0 * rate_per_s
--- a/tests/quota/test_gate.py
+++ b/tests/quota/test_gate.py
@@ -5,6 +5,7 @@
 
 from savorycross.gateway import gateway
 from savorycross.overload import shares
+from savorycross.quota import division
 from savorycross.quota import protocol
 from savorycross.quota import quotas
 from savorycross.route import configuration
@@ -12,6 +13,7 @@
 from savorycross.workspace import directory
 from savorycross.workspace import workspace
 from tests.forward import fake_engine
+from tests import recording_log
 
 ONE = workspace.Workspace('w', 0, 1.0, 1.0)
 # One of them holds the whole quota, which is another instance than the tested
@@ -24,6 +26,7 @@
 
     def __init__(self, names=('entry-1',)):
         self.engine = fake_engine.FakeEngine()
+        self.log = recording_log.RecordingLog()
         self.messages = []
         self.replies = []
         self.quotas = quotas.Quotas(
@@ -32,10 +35,12 @@
             None,
             lambda name, message: self.messages.append((name, message)),
             random.Random(1),
+            self.log,
+            self.engine.metrics,
             self.engine.time,
         )
         holders = shares.LimitShares('entry-1', frozenset(names))
-        self.quotas.set_shares(holders, self.engine.time)
+        self.quotas.set_view(division.HolderView(holders), self.engine.time)
         self.gateway = gateway.Gateway(self.engine, quotas=self.quotas)
         self.route = fake_engine.make_route(('s',))
         self.gateway.adopt(
@@ -109,3 +114,15 @@
     entry.call().cancel()
     entry.lend(1)
     assert not entry.engine.sends
+
+
+def test_one_line_tells_that_a_workspace_begins_and_ends_to_be_limited():
+    entry = Entry()
+    entry.engine.add_target('t', 's')
+    for _ in range(4):
+        entry.call()
+    assert len(entry.log.fields('workspace.limited')) == 1
+    entry.quotas.maintain(entry.engine.time)
+    assert not entry.log.fields('workspace.freed')
+    entry.quotas.maintain(entry.engine.time + 5.0)
+    assert len(entry.log.fields('workspace.freed')) == 1
