Refuse keys that no read of the store has confirmed within the bound

With a strict bound on withdrawn keys, an instance that was cut off from the store, frozen or slow went on to serve a key after its withdrawal. A listing confirms as of its first page. A newer configuration that a confirmation shows is applied at once. The clock goes on while the machine is suspended. The reads have connections of their own, so that reads without an answer don't hold those of the follower and the announcer.

Peers hear of a version only once the mirror has reached its revision, as each of them would copy all items otherwise.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -75,10 +75,12 @@
     """How far a listing has come.
 
     :param revision: the store's Revision that the first page shows.
+    :param sent_at: time at which the first page was asked for.
     :param after: key after which the next page begins.
     """
 
     revision: object = None
+    sent_at: float = 0.0
     after: str = ''
     has_more: bool = True
     keys: set = dataclasses.field(default_factory=set)
@@ -110,6 +112,9 @@
         missing without which requests fail.
     :param is_on_duty: callable that takes the time and returns whether this
         instance is to watch; otherwise its mirror is updated from peers.
+    :param on_listed: called after each complete listing with the time at
+        which it began.
+    :param read_clock: callable that returns that time.
     """
 
     def __init__(
@@ -122,6 +127,8 @@
         count_watchers=lambda: 1,
         has_missing_targets=lambda: False,
         is_on_duty=lambda now: True,
+        on_listed=lambda sent_at: None,
+        read_clock=trio.current_time,
     ):
         self._store = store
         self._mirror = mirror
@@ -131,6 +138,8 @@
         self._count_watchers = count_watchers
         self._has_missing_targets = has_missing_targets
         self._is_on_duty = is_on_duty
+        self._on_listed = on_listed
+        self._read_clock = read_clock
         self._urgent_until = 0.0
         self._scope = trio.CancelScope()
         self._listing = None
@@ -193,6 +202,8 @@
             self._listing = _Listing()
         listing = self._listing
         while listing.has_more:
+            if listing.revision is None:
+                listing.sent_at = self._read_clock()
             page = await self._store.read_page(listing.after)
             self.note_answer()
             first_revision = listing.revision or page.revision
@@ -205,6 +216,7 @@
         self._mirror.retain(keys, first_revision, trio.current_time())
         self._mirror.revision = max(first_revision, self._mirror.revision)
         self._mirror.is_complete = True
+        self._on_listed(listing.sent_at)
         self._on_synced()
         was_restored = 0 < known_revision.era < first_revision.era
         self._log.event(
--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -86,6 +86,19 @@
         :raises HistoryGoneError: if the store has dropped these changes.
         """
 
+    async def read_key(self, key: str) -> Page:
+        """Return a key as it is now, and others that begin with it."""
+
+    async def read_changes(self, key: str, revision: Revision) -> Page:
+        """Return the changes of a key after a revision, at once.
+
+        Those of other keys may be among them. The answer shows all that the
+        store acknowledged before the call. A page of another era holds no
+        changes since the revision.
+
+        :raises HistoryGoneError: if the store has dropped these changes.
+        """
+
     async def open_lease(self, ttl_s: float) -> Lease:
         """Return a new Lease that ends after ``ttl_s`` seconds."""
 
--- a/savorycross/fleet/directory.py
+++ b/savorycross/fleet/directory.py
@@ -40,10 +40,15 @@
     def addresses(self, now):
         """Return pairs of host and port of the instances in the list."""
         listed = [p.caller_address for p in self.serving_peers(now)]
-        if self.is_ready and self._own.name in self._subset.selected:
+        if self.lists_own(now):
             listed.append(self._own.caller_address)
         return listed
 
+    def lists_own(self, now):
+        """Return whether callers are told to use this instance."""
+        self._refresh(now)
+        return self.is_ready and self._own.name in self._subset.selected
+
     def serving_peers(self, now):
         """Return the Peers in the list, without this instance."""
         self._refresh(now)
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -2,10 +2,13 @@
 
 import math
 
+import trio
+
 from savorycross.forward import scatter_gather
 from savorycross.forward import single_call
 from savorycross.route import route as routes
 from savorycross.route import weighted_round_robin
+from savorycross.workspace import freshness as freshnesses
 
 # Time that is reserved before a request's timeout to send a failure reply, if
 # the event loop doesn't run later than that, and the most of the timeout.
@@ -22,23 +25,38 @@
 class Gateway:
     """Finds the route of each request and forwards the request by it.
 
-    ``configuration`` is the Configuration in force, or None. From ``end_at``
+    ``configuration`` is the Configuration in force, or None, and
+    ``has_workspaces`` tells whether it has any. From ``end_at``
     on, a runtime clock time, nothing is forwarded, as the instance ends;
     requests that probably take longer are refused before.
 
     :param engine: Engine.
     :param read_lag_s: callable that returns the seconds by which the event
         loop runs late.
+    :param freshness: Freshness of the keys in force.
+    :param read_clock: callable that returns the time for ``freshness``.
+    :param on_unconfirmed: called when a request with a key was refused as
+        the keys in force are not confirmed.
     """
 
-    def __init__(self, engine, read_lag_s=lambda: 0.0):
+    def __init__(
+        self,
+        engine,
+        read_lag_s=lambda: 0.0,
+        freshness=None,
+        read_clock=trio.current_time,
+        on_unconfirmed=lambda: None,
+    ):
         self.configuration = None
         self.end_at = math.inf
         self._return_at = 0.0
         self._engine = engine
         self._read_lag_s = read_lag_s
+        self._freshness = freshness or freshnesses.Freshness()
+        self._read_clock = read_clock
+        self._on_unconfirmed = on_unconfirmed
         self._balancers = {}
-        self._has_workspaces = False
+        self.has_workspaces = False
 
     def adopt(self, configuration):
         """Put a configuration in force.
@@ -46,7 +64,7 @@
         Requests in progress keep the one with which they began.
         """
         self.configuration = configuration
-        self._has_workspaces = not configuration.workspaces.is_empty
+        self.has_workspaces = not configuration.workspaces.is_empty
         self._balancers = {}
         self._engine.target_registry.set_services(configuration.services)
 
@@ -81,7 +99,7 @@
     def handle(self, request, respond):
         """Handle a request; see ``wire.server.Handler``."""
         dialect = self._engine.dialect
-        call = dialect.read_call(request, self._has_workspaces)
+        call = dialect.read_call(request, self.has_workspaces)
         if call is None:
             respond(dialect.make_refusal(400))
             return None
@@ -92,15 +110,18 @@
         if route is None:
             self._refuse(call, respond, 404, 'no route')
             return None
-        if self._has_workspaces and not route.is_public:
-            call = self._admit(call, request, respond)
+        if self.has_workspaces and not route.is_public:
+            call = self._admit(call, request, route, respond)
             if call is None:
                 return None
         return self._run(call, route, respond)
 
-    def _admit(self, call, request, respond):
+    def _admit(self, call, request, route, respond):
         """Return a Call with the workspace of its key.
 
+        Keys are judged only if they are confirmed: an unknown one may have
+        been added since.
+
         :returns: None if the request was refused.
         """
         dialect = self._engine.dialect
@@ -108,6 +129,9 @@
         if key is None:
             self._refuse_key(call, respond, 'missing')
             return None
+        if not self._are_keys_confirmed():
+            self._refuse_unconfirmed(call, route, respond)
+            return None
         workspace = self.configuration.workspaces.find(key)
         if workspace is None:
             self._refuse_key(call, respond, 'unknown')
@@ -115,6 +139,28 @@
         self._engine.metrics.count('keys', outcome='accepted')
         return dialect.assign(call, workspace)
 
+    def _are_keys_confirmed(self):
+        """Return whether keys may be judged by the configuration."""
+        if self._freshness.bound_s is None:
+            return True
+        # The time of the request's arrival is of no use: bytes that were
+        # sent later may wait in the socket of a process that was stopped.
+        now = self._read_clock()
+        self._freshness.want(now)
+        return self._freshness.is_fresh(now)
+
+    def _refuse_unconfirmed(self, call, route, respond):
+        """Refuse a call whose key may have been withdrawn."""
+        engine = self._engine
+        engine.metrics.count('keys', outcome='unconfirmed')
+        self._record_refusal(call, 503, 'keys not confirmed')
+        return_s = self._freshness.choose_return_s(self._read_clock())
+        end_at = call.received_at + _find_timeout_s(call, route)
+        respond(
+            engine.make_refusal(call, route, engine.now() + return_s, end_at)
+        )
+        self._on_unconfirmed()
+
     def _refuse_key(self, call, respond, outcome):
         """Refuse a call because of its key, which no record may name."""
         self._engine.metrics.count('keys', outcome=outcome)
@@ -123,9 +169,7 @@
     def _run(self, call, route, respond):
         engine = self._engine
         version = self.version
-        timeout_s = route.timeout_s
-        if call.caller_timeout_s is not None:
-            timeout_s = min(timeout_s, call.caller_timeout_s)
+        timeout_s = _find_timeout_s(call, route)
         margin_s = min(self._read_lag_s(), MAX_MARGIN_SHARE * timeout_s)
         margin_s = max(margin_s, FAILURE_REPLY_MARGIN_S)
         end_at = call.received_at + timeout_s - margin_s
@@ -205,3 +249,10 @@
             host=call.host,
             path=call.path,
         )
+
+
+def _find_timeout_s(call, route):
+    """Return the seconds in which a call's answer is of use."""
+    if call.caller_timeout_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, call.caller_timeout_s)
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -9,6 +9,7 @@
 
 from savorycross.delegate import batch_handler
 from savorycross.delegate import selector
+from savorycross.discovery import confirmer as confirmers
 from savorycross.discovery import follower as followers
 from savorycross.discovery import mirror as mirrors
 from savorycross.events import failure
@@ -40,6 +41,7 @@
 from savorycross.wire import reply_size
 from savorycross.wire import server
 from savorycross.wire import timers as timers_module
+from savorycross.workspace import freshness
 
 MAINTENANCE_INTERVAL_S = 0.5
 # How often the settings are read again, as they may change without a signal.
@@ -78,9 +80,11 @@
         self._make_forwarding()
         self._make_discovery()
         self._make_fleet()
+        self._make_confirmer()
         self._make_servers()
         self._is_stopping = False
         self._is_synced = False
+        self._settled_version = 0
 
     def _make_buffers(self):
         self._buffers = buffers.Buffers(spare_bytes=reply_size.MAX_BODY_BYTES)
@@ -134,8 +138,13 @@
             self._rates,
             buffers=self._buffers,
         )
+        self._freshness = freshness.Freshness(settings.revocation_s)
         self._gateway = gateways.Gateway(
-            self._engine, lambda: self._loop_load.lag_s
+            self._engine,
+            lambda: self._loop_load.lag_s,
+            self._freshness,
+            _read_boot_clock,
+            lambda: self._confirmer.ask(),
         )
 
     def _make_rates(self):
@@ -191,6 +200,8 @@
             lambda: self._watch_duty.count(trio.current_time()),
             self._lacks_targets,
             lambda now: self._watch_duty.is_on(now),
+            self._freshness.confirm,
+            _read_boot_clock,
         )
         self._watch_duty = watch_duty.WatchDuty(
             self._own_peer,
@@ -233,6 +244,22 @@
             lambda: self._gateway.version,
         )
 
+    def _make_confirmer(self):
+        self._confirming_store = self._adapter.make_store(
+            self._settings.store_address, self._nursery
+        )
+        self._confirmer = confirmers.Confirmer(
+            self._confirming_store,
+            self._adapter.keys.CONFIGURATION,
+            self._mirror,
+            self._freshness,
+            self.log,
+            _read_boot_clock,
+            lambda: self._directory.lists_own(trio.current_time()),
+            lambda: self._gateway.has_workspaces,
+            self._update_caller_limits,
+        )
+
     def _make_servers(self):
         adapter = self._adapter
         settings = self._settings
@@ -300,6 +327,7 @@
             'store follower': self._follower.run,
             'announcement': self._announcer.run,
             'mirror synchronization': self._mirror_sync.run,
+            'confirmations': self._confirmer.run,
             'maintenance': self._run_maintenance,
             'settings': self._poll_settings,
         }
@@ -322,17 +350,30 @@
             | self._is_stopping * heartbeat.LEAVING,
             'revision': self._mirror.revision.number,
             'era': self._mirror.revision.era,
-            'configuration': self._gateway.version,
+            'configuration': self._find_settled_version(),
             'has_store': self._follower.is_connected,
             'load': round(100 * self._loop_load.value),
         }
 
+    def _find_settled_version(self):
+        """Return the configuration's version at the mirror's revision.
+
+        A confirmation may bring a newer one, which peers get with the next
+        changes. If they heard of it before, each would copy all items.
+        """
+        item = self._mirror.items.get(self._adapter.keys.CONFIGURATION)
+        if item is None or item.revision <= self._mirror.revision:
+            self._settled_version = self._gateway.version
+        return self._settled_version
+
+    def _update_caller_limits(self):
+        self._caller_server.limits = self._gateway.configuration.limits
+
     def _on_synced(self):
         self._announcer.note_era(self._mirror.revision.era)
-        configuration = self._gateway.configuration
-        if configuration is None:
+        if self._gateway.configuration is None:
             return
-        self._caller_server.limits = configuration.limits
+        self._update_caller_limits()
         self._is_synced = True
         self._update_readiness()
 
@@ -397,7 +438,14 @@
         gauge('store_connected', int(self._follower.is_connected))
         gauge('store_revision', self._mirror.revision.number)
         gauge('store_era', self._mirror.revision.era)
-        gauge('store_connections', self._store.connection_count)
+        gauge(
+            'store_connections',
+            self._store.connection_count
+            + self._confirming_store.connection_count,
+        )
+        if self._gateway.has_workspaces and self._settings.revocation_s:
+            age_s = self._freshness.age_s(_read_boot_clock())
+            gauge('keys_confirmed_age_seconds', round(age_s, 3))
         gauge('instances', self._count_instances())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
@@ -454,6 +502,7 @@
             return
         self._settings = settings
         self._engine.update_settings(settings)
+        self._freshness.bound_s = settings.revocation_s
         self._memory_guard.set_memory(settings.memory_bytes)
         self.log.event('settings.changed')
 
@@ -525,7 +574,12 @@
 
 def _read_suspended_s():
     """Return the seconds for which the node was suspended since its boot."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    return _read_boot_clock() - time.monotonic()
+
+
+def _read_boot_clock():
+    """Return the seconds since the boot, also while it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 async def serve(settings, adapter, read_settings):
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -16,6 +16,8 @@
 # A listing that was not answered in that time gets this one the next time: the
 # store may be slow, or the connection silent for good.
 SLOW_LISTING_TIMEOUT_S = 3.0
+# The shortest wait of a watch, which so answers at once.
+NO_WAIT_MS = 1
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -71,7 +73,16 @@
         query = {'prefix': ''}
         if after:
             query['after'] = after
-        reply = await self._list(query)
+        return self._read_range(await self._list(query))
+
+    async def read_key(self, key):
+        """Return a key as it is now, and others that begin with it."""
+        reply = await self._call(
+            b'GET', '/v1/kv-range', {'prefix': key}, timeout_s=math.inf
+        )
+        return self._read_range(reply)
+
+    def _read_range(self, reply):
         page = _decode(reply, _range_decoder)
         if page.has_more and not page.items:
             raise errors.StoreUnavailableError('a page without items has more')
@@ -101,10 +112,17 @@
 
     async def watch(self, revision, wait_s):
         """Return the changes after a revision, waiting for the first."""
+        return await self._watch('', revision, int(wait_s * 1000))
+
+    async def read_changes(self, key, revision):
+        """Return the changes of a key after a revision, at once."""
+        return await self._watch(key, revision, NO_WAIT_MS)
+
+    async def _watch(self, prefix, revision, wait_ms):
         query = {
-            'prefix': '',
+            'prefix': prefix,
             'after': revision.number,
-            'wait_ms': int(wait_s * 1000),
+            'wait_ms': wait_ms,
         }
         reply = await self._call(
             b'GET', '/v1/kv-watch', query, timeout_s=math.inf
--- a/standins/kv_server.py
+++ b/standins/kv_server.py
@@ -115,6 +115,8 @@
         )
         if events is None:
             return 410, {}
+        prefix = parameters['prefix']
+        events = [e for e in events if e['key'].startswith(prefix)]
         return 200, {'events': events, 'current_rev': self.model.revision}
 
     def _write(self, body):
--- a/tests/discovery/fakes.py
+++ b/tests/discovery/fakes.py
@@ -16,7 +16,8 @@
 class FakeStore:
     """Holds items; can be unavailable, restored, and can drop its history.
 
-    ``is_down`` makes all calls fail, ``is_silent`` makes watches hang;
+    ``is_down`` makes all calls fail, ``is_silent`` makes all hang that need
+    no listing;
     without ``has_history``, all watches fail. Answers come after
     ``delay_s`` seconds.
     """
@@ -109,6 +110,30 @@
             await trio.sleep(self.delay_s)
         return item.Page(events, self._now)
 
+    async def read_key(self, key):
+        """Return a key as it is now."""
+        self._record_call('read')
+        found = tuple(i for i in self.items.values() if i.key == key)
+        return await self._answer(item.Page(found, self._now))
+
+    async def read_changes(self, key, revision):
+        """Return the changes of a key after a revision."""
+        self._record_call('changes')
+        if not self.oldest_revision <= revision.number <= self.revision:
+            raise errors.HistoryGoneError(f'{revision}')
+        events = tuple(
+            e
+            for e in self._events
+            if e.key == key and e.revision.number > revision.number
+        )
+        return await self._answer(item.Page(events, self._now))
+
+    async def _answer(self, page):
+        if self.is_silent:
+            await trio.sleep_forever()
+        await trio.sleep(self.delay_s)
+        return page
+
     def _record_call(self, name):
         self.calls.append(name)
         if self.is_down:
--- a/tests/gateway/test_workspaces.py
+++ b/tests/gateway/test_workspaces.py
@@ -9,6 +9,7 @@
 from savorycross.wire import messages
 from savorycross.wire import server
 from savorycross.workspace import directory
+from savorycross.workspace import freshness
 from savorycross.workspace import workspace
 from tests.delegate import fakes
 from tests.forward import fake_engine
@@ -174,3 +175,92 @@
     high = fake_engine.make_route(('s',), priority=0)
     assert urgent.urgency(low) < less.urgency(high)
     assert call.urgency(low) < urgent.urgency(high)
+
+
+class Clock:
+    """The clock of confirmations."""
+
+    def __init__(self):
+        self.time = 50.0
+
+    def __call__(self):
+        return self.time
+
+
+def bounded():
+    """Return a World with a bound on withdrawn keys, and its clock."""
+    world = single()
+    clock = Clock()
+    world.freshness = freshness.Freshness(5.0)
+    world.asked = []
+    adopted = world.gateway.configuration
+    world.gateway = gateway.Gateway(
+        world.engine,
+        freshness=world.freshness,
+        read_clock=clock,
+        on_unconfirmed=lambda: world.asked.append(True),
+    )
+    world.gateway.adopt(adopted)
+    world.freshness.confirm(clock.time)
+    return world, clock
+
+
+# Guards against requests that run by a key which may have been withdrawn.
+def test_key_is_not_judged_once_its_confirmation_is_too_old():
+    world, clock = bounded()
+    clock.time += 4.4
+    assert not world.request((b'Api-Key', KEY))
+    clock.time += 0.2
+    assert world.request((b'Api-Key', KEY)) == [503]
+    assert world.request((b'Api-Key', b'guess-9')) == [503]
+    assert world.request() == [401]
+    assert len(world.engine.sends) == 1
+    assert len(world.asked) == 2
+    world.freshness.confirm(clock.time)
+    assert not world.request((b'Api-Key', KEY))
+
+
+def test_unconfirmed_keys_do_not_concern_public_routes():
+    world, clock = bounded()
+    world.route = fake_engine.make_route(
+        ('s',), routes.Shape.ONE, is_public=True
+    )
+    world.adopt([(LATER, [KEY.decode()])])
+    clock.time += 60.0
+    assert not world.request((b'Api-Key', KEY))
+
+
+# Guards against a request of which the process reads the bytes after it was
+# stopped, long after the key was withdrawn.
+def test_time_of_arrival_does_not_count():
+    world, clock = bounded()
+    clock.time += 10.0
+    world.engine.time -= 30.0
+    assert world.request((b'Api-Key', KEY)) == [503]
+
+
+# Guards against answers that are lost, since a request that was sent before
+# its key was withdrawn may run.
+def test_request_that_was_admitted_goes_on_after_its_key_is_withdrawn():
+    world, _ = bounded()
+    assert not world.request((b'Api-Key', KEY))
+    world.adopt([(LATER, ['another'])])
+    (exchange,) = world.engine.sends
+    exchange.state.record_failure(world.engine.time)
+    world.engine.add_target('b', 's')
+    world.engine.advance(0.3)
+    assert world.request((b'Api-Key', KEY)) == [401]
+
+
+# Guards against pipelined requests that were read with an earlier one and use
+# the keys which were in force then.
+def test_each_request_is_judged_by_the_keys_in_force_at_its_turn():
+    world, _ = bounded()
+    other = workspace.Workspace('other')
+    assert not world.request((b'Api-Key', KEY))
+    world.adopt([(other, [KEY.decode()])])
+    assert not world.request((b'Api-Key', KEY))
+    world.adopt([(other, [])])
+    assert world.request((b'Api-Key', KEY)) == [401]
+    names = [b'Tenant: later' in e.data for e in world.engine.sends]
+    assert names == [True, False]
