Decide per service which sends leave a data centre

A constant of 1.5 typical latencies kept sends in their data centre until its own targets had queues, however idle the others were.

Each service now has a fraction of sends that leave for each other data centre (savorycross/locality). It moves in damped steps while the own targets are used above 0.7 and the others answer sooner by more than the price of the bytes, never beyond 0.35 of their slots. Without a fraction the choice is the present one.

--- a/bench/load.py
+++ b/bench/load.py
@@ -28,6 +28,7 @@
     'worst 2 s',
     'sends',
     'turned away',
+    'remote',
 )
 
 
@@ -131,6 +132,8 @@
         first_sends = sum(r.first_sends for r in group)
         row['sends'] = round(sum(r.sends for r in group) / first_sends, 3)
         refusals = sum(r.refusals for r in group)
+        remote = sum(r.remote_sends for r in group)
+        row['remote'] = round(remote / first_sends, 3)
         row['turned away'] = round(refusals / first_sends, 3)
     return row
 
--- a/savorycross/fleet/directory.py
+++ b/savorycross/fleet/directory.py
@@ -49,6 +49,12 @@
         self._refresh(now)
         return self._listed
 
+    def count_local(self, now):
+        """Return how many instances of this data centre take callers."""
+        listed = self.serving_peers(now)
+        count = sum(p.data_centre == self._own.data_centre for p in listed)
+        return count + (self._own.name in self._subset.selected)
+
     def shares(self, now):
         """Return the LimitShares of this instance."""
         self._refresh(now)
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -1,6 +1,7 @@
 """The state that all calls of an instance share."""
 
 import math
+import random
 
 import trio
 
@@ -9,6 +10,7 @@
 from savorycross.forward import call as calls
 from savorycross.forward import route_latency as route_latencies
 from savorycross.forward import target_state
+from savorycross.locality import locality as localities
 from savorycross.overload import reachability
 from savorycross.overload import return_time
 from savorycross.overload import share_views
@@ -42,6 +44,7 @@
     :param now: callable that returns the runtime clock time in seconds.
     :param buffers: Buffers that count replies until their call ends, or None
         for some of its own.
+    :param locality: Locality, or None for one with the default price.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         rates,
         now=trio.current_time,
         buffers=None,
+        locality=None,
     ):
         self.dialect = dialect
         self.target_registry = target_registry
@@ -66,6 +70,9 @@
         self.metrics = metrics
         self.rates = rates
         self.buffers = buffers or buffer_counts.Buffers()
+        self.locality = locality or localities.Locality(
+            settings.data_centre, random.Random(), log
+        )
         rates.subscribe(self.wake_line)
         self._now = now
         self._settings = settings
@@ -262,7 +269,15 @@
             self._route_latencies[route.name] = latency
         return latency
 
-    def pick(self, service, tried, now, preferred=None, keeps_reserve=False):
+    def pick(
+        self,
+        service,
+        tried,
+        now,
+        preferred=None,
+        keeps_reserve=False,
+        draw=None,
+    ):
         """Return the TargetState of the target to send to, or None.
 
         :param service: name of the service.
@@ -272,8 +287,11 @@
             ones, or None.
         :param keeps_reserve: whether the send has to leave tokens of limited
             targets for sends that are needed more.
+        :param draw: see ``locality.Locality.choose``.
         """
-        picked = self._pick(service, tried, now, preferred, keeps_reserve)
+        picked = self._pick(
+            service, tried, now, preferred, keeps_reserve, draw
+        )
         if picked is None and not keeps_reserve:
             self.borrow(service, now, tried)
         return picked
@@ -425,6 +443,7 @@
         its slack is full.
         """
         self.delegates.prune(now)
+        self.locality.prune(now)
         self._budgets = {
             service: budget
             for service, budget in self._budgets.items()
@@ -441,7 +460,15 @@
                 lambda: self.advance_line(service, self.now()),
             )
 
-    def _pick(self, service, tried, now, preferred=None, keeps_reserve=False):
+    def _pick(
+        self,
+        service,
+        tried,
+        now,
+        preferred=None,
+        keeps_reserve=False,
+        draw=None,
+    ):
         states = self.target_registry.list_usable(service)
         if not tried:
             # A first send leaves the reserve of limited targets for the
@@ -456,6 +483,7 @@
             now,
             lambda s: self.may_send(s, now, keeps_reserve),
             preferred,
+            self.locality.choose(service, states, draw, now),
         )
 
     def _is_cold_send_allowed(self, state, now):
--- a/savorycross/forward/picker.py
+++ b/savorycross/forward/picker.py
@@ -24,7 +24,7 @@
         self._data_centre = data_centre
         self._rng = rng
 
-    def pick(self, states, tried, now, may_send, preferred=None):
+    def pick(self, states, tried, now, may_send, preferred=None, leaving=None):
         """Return the TargetState of the chosen target, or None.
 
         Ejected targets are chosen only if all others were tried; a target
@@ -37,6 +37,8 @@
             whether the limits of its sends allow one more.
         :param preferred: data centre that is preferred among the remote
             ones, or None.
+        :param leaving: data centre that the send may go to without the
+            price of a remote one, or None; see ``locality.Locality``.
         """
         untried = [
             s
@@ -46,12 +48,12 @@
         candidates = [s for s in untried if not s.is_ejected(now)] or untried
         candidates = [s for s in candidates if s.has_room and may_send(s)]
         return min(
-            self._sample(candidates),
-            key=lambda s: self.score(s, now, preferred),
+            self._sample(candidates, leaving),
+            key=lambda s: self.score(s, now, preferred, leaving),
             default=None,
         )
 
-    def score(self, state, now, preferred=None):
+    def score(self, state, now, preferred=None, leaving=None):
         """Return the expected latency in units of the typical one.
 
         A small random term decides between equal targets.
@@ -61,13 +63,14 @@
         score = (
             state.relative_latency(now) + state.suspicion(now) + failures
         ) * load
-        if state.target.data_centre != self._data_centre:
+        data_centre = state.target.data_centre
+        if data_centre not in (self._data_centre, leaving):
             score += REMOTE_PENALTY
-            if preferred not in (None, state.target.data_centre):
+            if preferred not in (None, data_centre):
                 score += NOT_PREFERRED_PENALTY
         return score + 0.01 * self._rng.random()
 
-    def _sample(self, states):
+    def _sample(self, states, leaving):
         if len(states) <= MAX_CANDIDATES:
             return states
         local = [
@@ -76,6 +79,9 @@
         remote = [
             s for s in states if s.target.data_centre != self._data_centre
         ]
+        if leaving is not None:
+            chosen = [s for s in remote if s.target.data_centre == leaving]
+            remote = chosen or remote
         half = MAX_CANDIDATES // 2
         local_count = min(len(local), MAX_CANDIDATES - min(half, len(remote)))
         return self._rng.sample(local, local_count) + self._rng.sample(
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -42,7 +42,9 @@
     the typical latency of its route in seconds, in the order of the sends;
     ``max_in_flight`` is the largest number of them. ``rate`` is the
     RateLimiter of the sends. ``is_leaving`` tells that the target has said
-    in an answer that it is about to end.
+    in an answer that it is about to end. ``sends`` counts all sends, and
+    ``offered_s`` is the sum of the typical latencies of their routes.
+    ``sampled_at`` is the runtime clock time of the latest latency sample.
 
     :param target: Target.
     :param pool: Pool of its connections.
@@ -62,7 +64,9 @@
         self.misdirected_until = 0.0
         self.cold_until = 0.0
         self._relative_latency = 1.0
-        self._sampled_at = now
+        self.sampled_at = now
+        self.sends = 0
+        self.offered_s = 0.0
         self._failure_rate = 0.0
         self._outcome_at = now
         self._recent_sends = collections.deque()
@@ -72,7 +76,7 @@
 
     def relative_latency(self, now):
         """Return the relative latency, which decays toward 1 when idle."""
-        age = now - self._sampled_at
+        age = now - self.sampled_at
         return 1.0 + (self._relative_latency - 1.0) * 0.5 ** (
             age / DECAY_HALF_LIFE_S
         )
@@ -93,6 +97,8 @@
         :param typical_s: typical latency of its route in seconds.
         """
         self.outstanding[attempt] = (now, typical_s)
+        self.sends += 1
+        self.offered_s += typical_s
 
     def remove_outstanding(self, attempt):
         """Remove a send from those in flight."""
@@ -105,10 +111,10 @@
         """
         current = self.relative_latency(now)
         ratio = min(ratio, MAX_RELATIVE_LATENCY)
-        decay = 1.0 - 0.5 ** ((now - self._sampled_at) / SAMPLE_HALF_LIFE_S)
+        decay = 1.0 - 0.5 ** ((now - self.sampled_at) / SAMPLE_HALF_LIFE_S)
         weight = max(MIN_SAMPLE_WEIGHT, decay)
         self._relative_latency = current + weight * (ratio - current)
-        self._sampled_at = now
+        self.sampled_at = now
 
     def failure_rate(self, now):
         """Return the moving average of failures, from 0 to 1."""
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -28,6 +28,7 @@
 from savorycross.gateway import stop_plan
 from savorycross.gateway import store_changes
 from savorycross.gateway import supervisor
+from savorycross.locality import locality
 from savorycross.metrics import loop_load
 from savorycross.metrics import process_usage
 from savorycross.metrics import registry
@@ -120,6 +121,7 @@
             self._make_pool, self.log
         )
         self._make_rates()
+        self._make_locality()
         self._engine = engines.Engine(
             settings,
             self._adapter.make_dialect(),
@@ -133,6 +135,7 @@
             self.metrics,
             self._rates,
             buffers=self._buffers,
+            locality=self._locality,
         )
         self._gateway = gateways.Gateway(
             self._engine, lambda: self._loop_load.lag_s
@@ -156,6 +159,14 @@
             self._rates.on_message(message, trio.current_time())
         )
 
+    def _make_locality(self):
+        self._locality = locality.Locality(
+            self._settings.data_centre,
+            self._rng,
+            self.log,
+            self._settings.link_byte_s,
+        )
+
     def _find_rate_address(self, name):
         host = self._peer_registry.find_host(name)
         return (host, self._settings.rate_address[1]) if host else None
@@ -362,6 +373,7 @@
     def _update_shares(self):
         now = trio.current_time()
         self._engine.set_shares(self._directory.shares(now))
+        self._locality.set_senders(self._directory.count_local(now))
         self._rates.set_shares(self._directory.rate_shares(now), now)
 
     def _count_instances(self):
@@ -454,6 +466,7 @@
             return
         self._settings = settings
         self._engine.update_settings(settings)
+        self._locality.byte_value_s = settings.link_byte_s
         self._memory_guard.set_memory(settings.memory_bytes)
         self.log.event('settings.changed')
 
--- a/savorycross/gateway/instance_settings.py
+++ b/savorycross/gateway/instance_settings.py
@@ -7,6 +7,9 @@
 DIRECTORY_TTL_S = 1.0
 # Assumed if the platform does not tell it.
 MEMORY_BYTES = 256_000_000
+# Seconds of latency that a byte to another data centre is worth. It occupies
+# a link of 7 Mbit/s, the slowest that operators declare, for 1.14 us.
+LINK_BYTE_S = 1e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +112,8 @@
     :param cold_send_limits: limits of sends to cold targets.
     :param memory_bytes: memory above which the machine ends the process.
     :param capacity: MachineCapacity.
+    :param link_byte_s: seconds of latency that a byte to another data centre
+        is worth.
     :param revocation_s: seconds after which a withdrawn key no longer works
         anywhere, or None if there is no such bound.
     :param quota_limits: QuotaLimits, or None if there is no such bound.
@@ -136,6 +141,7 @@
     cold_send_limits: ColdSendLimits
     memory_bytes: int = MEMORY_BYTES
     capacity: MachineCapacity = MachineCapacity()
+    link_byte_s: float = LINK_BYTE_S
     revocation_s: float | None = None
     quota_limits: QuotaLimits | None = None
     rollout_limits: RolloutLimits | None = None
--- /dev/null
+++ b/savorycross/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which sends go to another data centre."""
--- a/savorycross/platform/settings.py
+++ b/savorycross/platform/settings.py
@@ -3,6 +3,7 @@
 import math
 import os
 import tomllib
+import typing
 
 import msgspec
 
@@ -53,6 +54,8 @@
     memory_mb: float | None = None
     max_fds: decoding.Integer = 0
     link_mbps: float = 0.0
+    # Microseconds of latency that a byte to another data centre is worth.
+    link_byte_us: typing.Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -134,6 +137,7 @@
             limits.max_fds,
             limits.link_mbps * BYTES_PER_MBIT,
         ),
+        link_byte_s=limits.link_byte_us / 1e6,
         revocation_s=(
             bounds.revoke_ms / 1000 if bounds.strict_revoke else None
         ),
--- a/standins/fleet/fleet.py
+++ b/standins/fleet/fleet.py
@@ -41,6 +41,7 @@
         self.variant = variant
         self.scheduler = scheduler.Scheduler()
         self.outcomes = []
+        self.remote_sends = 0
         self._arrival_rngs = {
             kind.name: random.Random(f'{seed}/{kind.name}')
             for kind in pattern.kinds
@@ -95,7 +96,21 @@
         :param avoided: names of instances that failed the caller.
         """
         usable = [i for i in self._listed if i.name not in avoided]
-        return self._choice_rng.choice(usable) if usable else None
+        if not usable:
+            return None
+        weights = self.pattern.caller_weights
+        if not weights:
+            return self._choice_rng.choice(usable)
+        weight = dict(
+            zip(_name_data_centres(self.pattern), weights, strict=True)
+        )
+        return self._choice_rng.choices(
+            usable, [weight[i.data_centre] for i in usable]
+        )[0]
+
+    def find_data_centre(self, target_id):
+        """Return the data centre of a target."""
+        return self._entries[target_id].data_centre
 
     def count_shards(self, index):
         """Return the number of shards of an index."""
@@ -206,6 +221,11 @@
         names = frozenset(i.name for i in alive)
         for instance in alive:
             senders = self._subset.senders(instance.name, now)
+            instance.engine.locality.set_senders(
+                sum(
+                    i.data_centre == instance.data_centre for i in self._listed
+                )
+            )
             instance.engine.set_shares(
                 self.variant.make_shares(
                     instance.name, senders, names - senders
@@ -301,6 +321,9 @@
                 i for n in chosen for i in ids_by_shard[n][: event.per_shard]
             ]
         ids = sorted(self._entries)
+        if event.data_centre is not None:
+            name = _name_data_centres(self.pattern)[event.data_centre]
+            ids = [i for i in ids if self.find_data_centre(i) == name]
         count = max(1, round(event.share * len(ids)))
         return self._event_rng.sample(ids, count)
 
@@ -345,6 +368,7 @@
             weights={k.name: k.weight for k in self.pattern.kinds},
             sends=sum(len(t.arrivals) for t in self.targets.values()),
             first_sends=sum(len(times) for times in self._requested.values()),
+            remote_sends=self.remote_sends,
             refusals=sum(t.refusals for t in self.targets.values()),
             most_cold=self._count_most_cold(),
             worst_extra_ratio=self._measure_extra_sends(),
@@ -413,3 +437,7 @@
                 bound += self.pattern.extra_slack
                 worst = max(worst, extra / bound)
         return worst
+
+
+def _name_data_centres(pattern):
+    return [f'dc-{n}' for n in range(pattern.data_centres)]
--- a/standins/fleet/instance.py
+++ b/standins/fleet/instance.py
@@ -71,6 +71,7 @@
             fleet.scheduler.time,
         )
         own = heartbeat.Peer(name, 1, data_centre, address, address)
+        locality = fleet.variant.make_locality(data_centre, rng, log)
         self.engine = fleet.variant.make_engine(
             settings=_make_settings(name, data_centre, fleet, is_first_start),
             dialect=self.dialect,
@@ -82,6 +83,7 @@
             metrics=registry.Registry(),
             rates=self.rates,
             now=now,
+            locality=locality,
         )
         self._gateway = gateway.Gateway(self.engine)
         self._gateway.adopt(fleet.configuration)
@@ -122,25 +124,30 @@
         self._work_s = 0.0
 
     def _make_pool(self, address):
+        fleet = self._fleet
+        is_remote = fleet.find_data_centre(address[0]) != self.data_centre
+        link_s = fleet.pattern.link_ms / 1000 if is_remote else 0.0
         return _CountingPool(
-            self._fleet.targets[address[0]], self._fleet.scheduler, self
+            fleet.targets[address[0]], fleet.scheduler, link_s, is_remote, self
         )
 
-    def count_send(self):
+    def count_send(self, is_remote):
         """Count the processor time of a send."""
         self._work_s += SEND_S
+        self._fleet.remote_sends += is_remote
 
 
 class _CountingPool(pool.ModelPool):
     """A pool that counts the sends of its instance."""
 
-    def __init__(self, target, scheduler, instance):
-        super().__init__(target, scheduler)
+    def __init__(self, target, scheduler, link_s, is_remote, instance):
+        super().__init__(target, scheduler, link_s)
+        self._is_remote = is_remote
         self._instance = instance
 
     def send(self, exchange, max_idle_s=None, avoided=()):
         """Send an exchange; see ``ModelPool.send``."""
-        self._instance.count_send()
+        self._instance.count_send(self._is_remote)
         return super().send(exchange, max_idle_s)
 
 
--- a/standins/fleet/outcome.py
+++ b/standins/fleet/outcome.py
@@ -49,6 +49,7 @@
         them, over all services and windows.
     :param worst_limited_ratio: largest ratio of requests to a target that
         states a limit to the bound on them.
+    :param remote_sends: sends to targets in other data centres.
     :param limit_use: requests to such targets as a part of their limits.
     """
 
@@ -63,6 +64,7 @@
     worst_extra_ratio: float
     worst_limited_ratio: float = 0.0
     limit_use: float = 0.0
+    remote_sends: int = 0
 
     def select(self, kind=None):
         """Return the outcomes of a kind, or all, of callers that stayed."""
--- a/standins/fleet/pattern.py
+++ b/standins/fleet/pattern.py
@@ -85,6 +85,8 @@
     instances.
 
     :param share: part of the targets, callers or instances.
+    :param data_centre: number of the data centre whose targets are hit, or
+        None for all.
     :param per_shard: number of targets that are hit in each of a share of
         the shards; 0 for a share of all targets.
     """
@@ -106,6 +108,7 @@
     share: _Share = 0.15
     factor: _Positive = 1.0
     per_shard: int = 0
+    data_centre: int | None = None
 
 
 class Pattern(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -114,6 +117,10 @@
     :param answers: the decision that the pattern tests, in a few words.
     :param extra_slack: extra sends to a service in 10 s that are allowed
         beyond the ratio.
+    :param link_ms: one way between two data centres, on top of that within
+        one.
+    :param caller_weights: callers of the instances of each data centre, in
+        any unit; all alike if empty.
     """
 
     title: str
@@ -126,6 +133,8 @@
     data_centres: _Count = 3
     extra_ratio: _Share = 0.2
     extra_slack: _NotNegative = 50.0
+    link_ms: _NotNegative = 0.0
+    caller_weights: tuple[_NotNegative, ...] = ()
 
 
 def read_pattern(path):
--- a/standins/fleet/pool.py
+++ b/standins/fleet/pool.py
@@ -11,12 +11,14 @@
 
     :param target: ModelTarget.
     :param scheduler: Scheduler.
+    :param link_s: seconds of one way between their data centres.
     """
 
-    def __init__(self, target, scheduler):
+    def __init__(self, target, scheduler, link_s=0.0):
         self.limit = 1
         self.target = target
         self.scheduler = scheduler
+        self.delay_s = DELAY_S + link_s
         self._busy = set()
         self._idle_since = []
 
@@ -38,7 +40,7 @@
         if self._idle_since:
             self._idle_since.pop()
         else:
-            connect_s = 2 * DELAY_S + HANDSHAKE_S
+            connect_s = 2 * self.delay_s + HANDSHAKE_S
         connection = ModelConnection(self, exchange, connect_s)
         self._busy.add(connection)
         return connection
@@ -70,7 +72,7 @@
         self._exchange = exchange
         self._job = None
         self._sent_at = pool.scheduler.time
-        pool.scheduler.call_later(connect_s + DELAY_S, self._arrive)
+        pool.scheduler.call_later(connect_s + pool.delay_s, self._arrive)
 
     def close(self):
         """Close the connection, which ends the target's work."""
@@ -82,7 +84,7 @@
             job = self._job
             target = self._pool.target
             self._pool.scheduler.call_later(
-                DELAY_S, lambda: target.cancel(job)
+                self._pool.delay_s, lambda: target.cancel(job)
             )
 
     def _arrive(self):
@@ -90,7 +92,7 @@
             return
         target = self._pool.target
         if target.is_down:
-            self._pool.scheduler.call_later(DELAY_S, self._lose)
+            self._pool.scheduler.call_later(self._pool.delay_s, self._lose)
             return
         if target.is_dark and not self.was_sent:
             return
@@ -107,7 +109,9 @@
         exchange.on_lost(self.was_sent, 'connect: refused')
 
     def _reply_later(self, reply):
-        self._pool.scheduler.call_later(DELAY_S, lambda: self._reply(reply))
+        self._pool.scheduler.call_later(
+            self._pool.delay_s, lambda: self._reply(reply)
+        )
 
     def _reply(self, reply):
         if self._exchange is None:
--- a/standins/fleet/variant.py
+++ b/standins/fleet/variant.py
@@ -5,6 +5,7 @@
 
 from savorycross.forward import engine
 from savorycross.forward import picker
+from savorycross.locality import locality
 from savorycross.overload import caller_subset
 from savorycross.overload import reachability
 from savorycross.overload import shares
@@ -15,7 +16,7 @@
 class RandomPicker(picker.Picker):
     """Chooses any target that has room, without regard to its state."""
 
-    def score(self, state, now, preferred=None):
+    def score(self, state, now, preferred=None, leaving=None):
         """Return a random number."""
         return self._rng.random()
 
@@ -30,6 +31,13 @@
         return 1_000_000
 
 
+class ConstantPrice(locality.Locality):
+    """The price of another data centre is the same at any load."""
+
+    def choose(self, service, states, draw, now):
+        """Return None, as no send leaves at a lower price."""
+
+
 class UninformedEngine(engine.Engine):
     """An engine that refuses no call early and asks all back soon."""
 
@@ -48,6 +56,8 @@
 
     :param make_engine: callable with the parameters of ``Engine``.
     :param make_picker: callable of a data centre and a random.Random.
+    :param make_locality: callable of a data centre, a random.Random and a
+        log.
     :param make_shares: callable with the parameters of ``LimitShares``.
     :param min_selected: instances of each data centre that take callers at
         least.
@@ -56,6 +66,7 @@
     name: str
     make_engine: typing.Callable = engine.Engine
     make_picker: typing.Callable = picker.Picker
+    make_locality: typing.Callable = locality.Locality
     make_shares: typing.Callable = shares.LimitShares
     min_selected: int = caller_subset.MIN_SELECTED
 
@@ -69,6 +80,7 @@
         PRODUCT,
         Variant('random-target', make_picker=RandomPicker),
         Variant('unlimited-sends', make_shares=UnlimitedShares),
+        Variant('constant-price', make_locality=ConstantPrice),
         Variant('no-early-refusal', make_engine=UninformedEngine),
         Variant('all-instances', min_selected=ALL_INSTANCES),
     )
--- a/tests/forward/test_picker.py
+++ b/tests/forward/test_picker.py
@@ -96,3 +96,38 @@
         for _ in range(30)
     }
     assert len(picks) == 2
+
+
+def test_send_that_leaves_pays_no_price_in_the_chosen_data_centre():
+    target_picker = picker.Picker('bilbo', random.Random(3))
+    engine = _engine(near='bilbo', far='iruna', farther='donosti')
+    _state(engine, 'near').add_latency(2.0, engine.time)
+    states = engine.target_registry.states()
+
+    def pick(leaving):
+        picked = target_picker.pick(
+            states, (), engine.time, lambda _: True, leaving=leaving
+        )
+        return picked.target.id
+
+    assert pick(None) == 'near'
+    assert pick('iruna') == 'far'
+    assert pick('donosti') == 'farther'
+
+
+def test_samples_of_a_large_service_include_the_chosen_data_centre():
+    engine = fake_engine.FakeEngine()
+    for n in range(30):
+        engine.add_target(f't{n}', 's', ('bilbo', 'iruna', 'donosti')[n % 3])
+    target_picker = picker.Picker('bilbo', random.Random(3))
+    states = engine.target_registry.states()
+    for state in states:
+        if state.target.data_centre == 'bilbo':
+            state.add_latency(9.0, engine.time)
+    picks = {
+        target_picker.pick(
+            states, (), engine.time, lambda _: True, leaving='iruna'
+        ).target.data_centre
+        for _ in range(50)
+    }
+    assert picks == {'iruna'}
--- /dev/null
+++ b/tests/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decision to send to another data centre."""
--- /dev/null
+++ b/tests/locality/test_locality.py
@@ -0,0 +1,103 @@
+"""Tests of what the states of targets tell about their data centres."""
+
+import random
+
+import pytest
+
+from savorycross.locality import locality as localities
+from savorycross.locality import spill
+from tests.forward import fake_engine
+from tests import recording_log
+
+TYPICAL_S = 0.02
+
+
+@pytest.fixture
+def engine():
+    """An engine in ``bilbo`` with a target in each of three data centres."""
+    made = fake_engine.FakeEngine()
+    made.log = recording_log.RecordingLog()
+    made.locality = localities.Locality('bilbo', random.Random(1), made.log)
+    for name in ('bilbo', 'iruna', 'donosti'):
+        made.add_target(name, 's', name)
+    return made
+
+
+def play(engine, ratios, seconds=6.0, per_s=100):
+    """Send at a constant rate.
+
+    :param ratios: relative latency by target.
+    :returns: number of sends by target in the last second.
+    """
+    counts = dict.fromkeys(ratios, 0)
+    count = int(seconds * per_s)
+    for number in range(count):
+        engine.time += 1.0 / per_s
+        state = engine.pick('s', set(), engine.time)
+        name = state.target.id
+        state.add_outstanding(number, engine.time, TYPICAL_S)
+        state.remove_outstanding(number)
+        state.add_latency(ratios[name], engine.time)
+        if number >= count - per_s:
+            counts[name] += 1
+    return counts
+
+
+def test_equal_targets_keep_the_present_order(engine):
+    """Guards against sends that leave although nothing is gained."""
+    counts = play(engine, dict.fromkeys(('bilbo', 'iruna', 'donosti'), 1.0))
+    assert counts == {'bilbo': 100, 'iruna': 0, 'donosti': 0}
+    assert not engine.log.fields('locality.changed')
+
+
+def test_slow_and_busy_targets_share_their_sends_with_faster_ones(engine):
+    counts = play(engine, {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0})
+    assert 0 < counts['bilbo'] < 100
+    assert counts['iruna'] and counts['donosti']
+    assert engine.log.fields('locality.changed')[0]['service'] == 's'
+
+
+def test_idle_targets_keep_their_sends_though_others_are_faster(engine):
+    """Guards against bytes over the link for a little latency."""
+    ratios = {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0}
+    assert play(engine, ratios, per_s=10, seconds=20.0)['bilbo'] >= 10
+
+
+def test_evacuated_data_centre_gets_nothing(engine):
+    ratios = {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0}
+    play(engine, ratios)
+    engine.target_registry.set_evacuated('iruna', True, engine.time)
+    assert play(engine, ratios, 1.0)['iruna'] == 0
+
+
+def test_ejected_targets_count_no_slots(engine):
+    """Guards against a fraction for targets that do not answer."""
+    state = engine.target_registry.find('iruna')
+    for _ in range(12):
+        state.record_failure(engine.time)
+    counts = play(engine, {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0}, 3.0)
+    assert counts['iruna'] == 0
+    assert 'iruna' not in engine.locality.fractions('s')
+
+
+def test_expensive_bytes_stay(engine):
+    engine.locality.byte_value_s = 1e-3
+    counts = play(engine, {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0})
+    assert counts['bilbo'] >= 98
+
+
+def test_all_sends_of_a_call_go_to_the_same_data_centre():
+    """Guards against batches of one send, which cost more bytes."""
+    decision = spill.Spill()
+    decision.fractions = {'donosti': 0.2, 'iruna': 0.3}
+    chosen = [decision.choose(n / 100) for n in range(100)]
+    assert chosen.count('donosti') == 20
+    assert chosen.count('iruna') == 30
+    assert decision.choose(0.1) == decision.choose(0.1) == 'donosti'
+
+
+def test_services_without_sends_are_forgotten(engine):
+    """Guards against memory that grows with every service ever seen."""
+    play(engine, {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0})
+    engine.locality.prune(engine.time + 60.0)
+    assert engine.locality.fractions('s') == {}
