Let gathers leave as one, and count what crosses links

All first sends of a gather use one draw, from the id of the call, so that parts which leave go to the same data centre in few batches.

--- a/savorycross/delegate/batch.py
+++ b/savorycross/delegate/batch.py
@@ -36,6 +36,7 @@
         self._gather = gather
         self._connection = None
         self._sent_at = engine.now()
+        self._uncounted_bytes = 0
         self._timer = None
 
     def send(self, call, route, remaining_s):
@@ -67,6 +68,7 @@
         self.data = messages.encode_request(
             b'POST', batch_handler.PATH, (), protocol.encode(request)
         )
+        self._uncounted_bytes = len(self.data)
         self._timer = self._engine.timers.call_at(
             self._sent_at + hedge_delay_s + RESULT_GRACE_S, self._on_timeout
         )
@@ -111,6 +113,7 @@
             and self._attempts[r.number] in self._pending
         ]
         self._pending.difference_update(a for a, _ in rows)
+        self._record_bytes(len(data), rows)
         for attempt, result in rows:
             self._record_statement(attempt, result)
         self._deliver_parts(rows, now, overhead_s)
@@ -130,6 +133,13 @@
         """Handle the loss of the connection to the delegate."""
         self._fail_pending(reason)
 
+    def _record_bytes(self, count, rows):
+        """Record the size of a message, and of the batch with the first."""
+        count += self._uncounted_bytes
+        self._uncounted_bytes = 0
+        for attempt, _ in rows:
+            self._engine.record_bytes(attempt.state, count / len(rows))
+
     def _record_statement(self, attempt, result):
         """Record what the target has said to the delegate."""
         if result.is_leaving:
--- a/savorycross/delegate/batcher.py
+++ b/savorycross/delegate/batcher.py
@@ -1,5 +1,7 @@
 """Groups the first sends of a call into one batch for each delegate."""
 
+import xxhash
+
 from savorycross.delegate import batch
 from savorycross.forward import attempt as attempts
 from savorycross.forward import call as calls
@@ -8,6 +10,8 @@
 MIN_SENDS = 2
 # Requests with longer bodies are sent to each target.
 MAX_BODY_BYTES = 65536
+# Makes the draw independent of the data centre that a call prefers.
+DRAW_SEED = 1
 
 
 class Batcher:
@@ -20,6 +24,8 @@
         no use.
     :param gather: object with ``pause`` and ``resume``; between these two
         calls it collects parts without deciding on the answer.
+
+    ``draw`` is for ``locality.Locality.choose``.
     """
 
     def __init__(self, engine, call, route, end_at, gather):
@@ -30,6 +36,9 @@
         self._gather = gather
         self._is_open = len(call.body) <= MAX_BODY_BYTES
         self._attempts_by_delegate = {}
+        # The same for all parts, which then leave for the same data centre in
+        # few batches.
+        self.draw = xxhash.xxh32_intdigest(call.id, seed=DRAW_SEED) / 2**32
         self.preferred = None
         if self._is_open:
             self.preferred = engine.delegates.choose_data_centre(
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -351,10 +351,20 @@
         if kind is not attempt.SendKind.DELEGATED:
             is_first = kind is attempt.SendKind.FIRST
             self.metrics.count('sends', kind='first' if is_first else 'extra')
+            if state.target.data_centre != self.data_centre:
+                self.locality.record_send(state, kind.value)
         if is_limited:
             self.metrics.count('limited_sends', kind=kind.value)
         return is_paid
 
+    def record_bytes(self, state, count):
+        """Count the bytes of a request and its reply over a link.
+
+        :param state: TargetState of the target.
+        """
+        if state.target.data_centre != self.data_centre:
+            self.locality.record_bytes(state, count)
+
     def read_statement(self, state, verdict, reply, sent_at):
         """Take in what a target's reply says about the requests it takes.
 
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -276,6 +276,9 @@
 
     def _accept_answer(self, attempt, reply, now):
         seconds = now - attempt.started_at
+        if attempt.data:
+            count = len(attempt.data) + len(reply.body)
+            self._engine.record_bytes(attempt.state, count)
         route_latency = self._route_latency
         attempt.state.record_success(now)
         attempt.state.add_latency(seconds / route_latency.typical_s, now)
@@ -434,12 +437,13 @@
         engine = self._engine
         batcher = self._batcher if self.sends == 0 else None
         preferred = batcher.preferred if batcher is not None else None
+        draw = batcher.draw if batcher is not None else None
         self._lacks_budget = False
         keeps_reserve = self.is_dispensable or (
             is_hedge and engine.is_limited(self.service)
         )
         state = engine.pick(
-            self.service, self.tried, now, preferred, keeps_reserve
+            self.service, self.tried, now, preferred, keeps_reserve, draw
         )
         if state is None:
             self.reason = self.reason or 'no usable target'
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -427,6 +427,8 @@
         gauge('buffer_limit_bytes', self._buffers.limit_bytes)
         gauge('budgets_spent', self._engine.count_exhausted_budgets(now))
         gauge('waiting', self._engine.count_waiting())
+        gauge('services_leaving', self._locality.count_leaving())
+        self._locality.use.set_gauges(self.metrics)
         gauge('delegates', self._engine.delegates.count(now))
         usage = {
             'memory_bytes': process_usage.read_resident_bytes(),
--- a/savorycross/locality/spill.py
+++ b/savorycross/locality/spill.py
@@ -76,8 +76,11 @@
         :param remotes: Side by name of each other data centre.
         :param senders: instances of the own data centre that send.
         :param now: runtime clock time in seconds.
+        :returns: utilisation of the own data centre's slots; sends that wait
+            for a slot count too.
         """
         fractions = {}
+        used = 0.0
         if local.slots:
             used = local.demand * local.cost * senders / local.slots
             work = senders * self._find_work([local, *remotes.values()])
@@ -92,6 +95,7 @@
         if excess > 1.0:
             fractions = {n: f / excess for n, f in fractions.items()}
         self.fractions = fractions
+        return used
 
     def choose(self, draw):
         """Return the data centre that a send goes to, or None for the own.
--- a/tests/delegate/test_batch.py
+++ b/tests/delegate/test_batch.py
@@ -1,5 +1,7 @@
 """Sends through a delegate, on the side of the sender."""
 
+import dataclasses
+
 from savorycross.delegate import protocol
 from savorycross.forward import scatter_gather
 from savorycross.wire import messages
@@ -208,3 +210,31 @@
     ).start()
     assert ends == ['lost']
     assert not batches
+
+
+def test_parts_that_leave_go_to_the_same_data_centre():
+    """Guards against small batches to several data centres."""
+    draws = []
+    run = Run()
+
+    def choose(service, states, draw, now):
+        draws.append(draw)
+        return 'iruna' if draw < 0.5 else 'donosti'
+
+    run.engine.locality.choose = choose
+    for number in range(20):
+        call = dataclasses.replace(
+            fake_engine.make_call(), id=b'request-%d' % number
+        )
+        draws.clear()
+        scatter_gather.ScatterGather(
+            run.engine,
+            call,
+            fake_engine.make_route(FAR),
+            100.2,
+            101.0,
+            lambda reply, outcome: None,
+        ).start()
+        firsts = draws[-len(FAR) :]
+        assert len(set(firsts)) == 1
+        assert 0.0 <= firsts[0] < 1.0
--- a/tests/delegate/test_batch_handler.py
+++ b/tests/delegate/test_batch_handler.py
@@ -159,3 +159,14 @@
     run = Run(('a',))
     assert not run.engine.sends[0].accepts(fake_engine.reply(id_=b'other'))
     assert run.engine.sends[0].accepts(fake_engine.reply())
+
+
+def test_batch_is_not_sent_on_to_another_data_centre():
+    """Guards against work that moves from one data centre to the next."""
+    run = Run(())
+    run.engine.add_target('far', 's-a', 'iruna')
+    run.engine.locality.choose = lambda *arguments: 'iruna'
+    state = run.engine.target_registry.find('a')
+    state.add_latency(9.0, run.engine.time)
+    run.request(('a',))
+    assert run.engine.sends[-1].state is state
--- a/tests/locality/test_locality.py
+++ b/tests/locality/test_locality.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from savorycross.forward import attempt
 from savorycross.locality import locality as localities
 from savorycross.locality import spill
 from tests.forward import fake_engine
@@ -101,3 +102,44 @@
     play(engine, {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0})
     engine.locality.prune(engine.time + 60.0)
     assert engine.locality.fractions('s') == {}
+
+
+def test_fractions_of_an_idle_service_are_forgotten(engine):
+    """Guards against sends by what was known before a pause."""
+    ratios = {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0}
+    play(engine, ratios)
+    assert engine.locality.fractions('s')
+    engine.time += 10.0
+    engine.pick('s', set(), engine.time)
+    assert not engine.locality.fractions('s')
+
+
+def test_return_of_targets_adds_no_demand(engine):
+    """Guards against old sends that count as those of one step."""
+    ratios = {'bilbo': 2.2, 'iruna': 1.0, 'donosti': 1.0}
+    play(engine, ratios, 10.0)
+    engine.target_registry.set_evacuated('bilbo', True, engine.time)
+    play(engine, ratios, 4.0)
+    engine.target_registry.set_evacuated('bilbo', False, engine.time)
+    play(engine, ratios, 0.6)
+    assert not engine.locality.fractions('s')
+
+
+def test_sends_and_bytes_are_counted_by_data_centre_and_reason(engine):
+    far = engine.target_registry.find('iruna')
+    near = engine.target_registry.find('bilbo')
+    engine.pick('s', set(), engine.time)
+    for kind in (attempt.SendKind.FIRST, attempt.SendKind.HEDGE):
+        engine.record_send(far, kind, engine.time)
+        engine.record_send(near, kind, engine.time)
+    engine.record_bytes(far, 700)
+    engine.record_bytes(near, 900)
+    engine.locality.use.set_gauges(engine.metrics)
+    rendered = engine.metrics.render()
+    for line in (
+        'remote_bytes{destination="iruna",source="bilbo"} 700',
+        '{destination="iruna",reason="hedge",source="bilbo"} 1',
+        '{destination="iruna",reason="score",source="bilbo"} 1',
+    ):
+        assert line in rendered
+    assert 'destination="bilbo"' not in rendered
