--- a/savorycross/locality/service_load.py
+++ b/savorycross/locality/service_load.py
@@ -11,6 +11,9 @@
 # Assumed until the first sends.
 INITIAL_TYPICAL_S = 0.01
 MIN_TYPICAL_S = 0.001
+# Between two looks at a service whose sends all stay.
+QUIET_INTERVAL_S = 0.5
+MIN_ELAPSED_S = 0.01
 # A failure costs the time of two more sends and a part of the budget for
 # extra sends.
 FAILURE_PENALTY = 4.0
@@ -33,7 +36,8 @@
         self.step_at = now
         self.logged = {}
         self.has_local = True
-        self._stepped_at = now - spill.STEP_INTERVAL_S
+        self._looked_at = now
+        self._measured_at = {}
         self._bytes = INITIAL_BYTES
         self._typical_s = INITIAL_TYPICAL_S
         self._demands = {}
@@ -53,18 +57,32 @@
         :param now: runtime clock time in seconds.
         :returns: pair of the slots and the utilisation of the own targets.
         """
-        elapsed_s = now - self._stepped_at
-        self.step_at = now + spill.STEP_INTERVAL_S
-        self._stepped_at = now
-        if elapsed_s > MAX_SAMPLE_AGE_S:
+        idle_s = now - self._looked_at
+        self._looked_at = now
+        if idle_s > MAX_SAMPLE_AGE_S:
             # What was known is outdated, so the present order holds again.
             self.decision = spill.Spill()
-            self._totals = {}
-        price = self._bytes * byte_value_s / self._typical_s
-        sides = self._find_sides(own, states, price, elapsed_s, now)
-        local = sides.pop(own, spill.Side(0.0, 0.0, 0.0))
+            self._totals.clear()
+        elif len(self._totals) > 2 * len(states):
+            self._forget_targets(states)
+        groups = {own: []}
+        for state in states:
+            groups.setdefault(state.target.data_centre, []).append(state)
+        local = self._measure(own, groups.pop(own), 0.0, now)
         self.has_local = local.slots > 0
-        return local.slots, self.decision.step(local, sides, senders, now)
+        used = spill.find_utilisation(local, senders)
+        self.step_at = now + spill.STEP_INTERVAL_S
+        if not self.decision.fractions and used <= spill.SPILL_UTILISATION:
+            # Most services at most times; this is all that they cost.
+            self.step_at = now + QUIET_INTERVAL_S
+            return local.slots, used
+        price = self._bytes * byte_value_s / self._typical_s
+        sides = {
+            name: self._measure(name, group, price, now)
+            for name, group in sorted(groups.items())
+        }
+        self.decision.step(local, sides, senders, now)
+        return local.slots, used
 
     def explain(self, data_centre):
         """Return why a first send goes to another data centre."""
@@ -92,58 +110,56 @@
         self.logged = fractions
         return True
 
-    def _find_sides(self, own, states, price, elapsed_s, now):
-        """Return the Side of each data centre that has targets, by name.
+    def _measure(self, data_centre, states, price, now):
+        """Return the Side of a data centre.
 
-        :param price: cost of a send's bytes over a link.
+        :param states: TargetStates of its targets.
+        :param price: cost of a send's bytes over the link to it.
         """
-        offered = self._measure_offered(states)
+        if not states:
+            return spill.Side(0.0, 0.0, 0.0)
+        measured_at = self._measured_at.get(
+            data_centre, now - spill.STEP_INTERVAL_S
+        )
+        self._measured_at[data_centre] = now
+        elapsed_s = max(now - measured_at, MIN_ELAPSED_S)
         weight = 1.0 - 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
-        members = {}
-        for state in states:
-            members.setdefault(state.target.data_centre, []).append(state)
-        sides = {}
-        for name, group in sorted(members.items()):
-            demand = self._demands.get(name, 0.0)
-            demand += weight * (offered.get(name, 0.0) / elapsed_s - demand)
-            self._demands[name] = demand
-            extra = 0.0 if name == own else price
-            sides[name] = _make_side(group, demand, extra, now)
-        return sides
-
-    def _measure_offered(self, states):
-        """Return the seconds of work that were sent since the latest step.
-
-        :returns: sum of the sends' typical latencies by data centre.
+        demand = self._demands.get(data_centre, 0.0)
+        demand += weight * (self._count_offered(states) / elapsed_s - demand)
+        self._demands[data_centre] = demand
+        open_states = [s for s in states if _is_open(s, now)]
+        costs = [_find_cost(s, now) for s in open_states or states]
+        return spill.Side(
+            slots=sum(s.target.slots for s in open_states),
+            demand=demand,
+            cost=sum(costs) / len(costs) + price,
+            is_known=any(
+                now - s.sampled_at < MAX_SAMPLE_AGE_S for s in states
+            ),
+        )
+
+    def _forget_targets(self, states):
+        """Forget targets that may get no work any more."""
+        ids = {s.target.id for s in states}
+        self._totals = {i: t for i, t in self._totals.items() if i in ids}
+
+    def _count_offered(self, states):
+        """Return the typical latencies of the sends since the latest step.
+
+        :returns: their sum in seconds.
         """
-        totals = {}
-        offered = {}
-        sends = 0
+        sends = offered_s = 0.0
         for state in states:
             id_ = state.target.id
-            totals[id_] = state.sends, state.offered_s
-            former = self._totals.get(id_, totals[id_])
-            sends += state.sends - former[0]
-            name = state.target.data_centre
-            seconds = state.offered_s - former[1]
+            total = state.sends, state.offered_s
+            former = self._totals.get(id_, total)
+            self._totals[id_] = total
             # A new incarnation of a target counts from 0.
-            offered[name] = offered.get(name, 0.0) + max(0.0, seconds)
-        self._totals = totals
-        if sends > 0:
-            typical_s = sum(offered.values()) / sends
-            self._typical_s = max(typical_s, MIN_TYPICAL_S)
-        return offered
-
-
-def _make_side(states, demand, price, now):
-    open_states = [s for s in states if _is_open(s, now)]
-    costs = [_find_cost(s, now) for s in open_states or states]
-    return spill.Side(
-        slots=sum(s.target.slots for s in open_states),
-        demand=demand,
-        cost=sum(costs) / len(costs) + price,
-        is_known=any(now - s.sampled_at < MAX_SAMPLE_AGE_S for s in states),
-    )
+            sends += max(0, total[0] - former[0])
+            offered_s += max(0.0, total[1] - former[1])
+        if sends:
+            self._typical_s = max(offered_s / sends, MIN_TYPICAL_S)
+        return offered_s
 
 
 def _find_cost(state, now):
--- a/savorycross/locality/spill.py
+++ b/savorycross/locality/spill.py
@@ -76,13 +76,10 @@
         :param remotes: Side by name of each other data centre.
         :param senders: instances of the own data centre that send.
         :param now: runtime clock time in seconds.
-        :returns: utilisation of the own data centre's slots; sends that wait
-            for a slot count too.
         """
         fractions = {}
-        used = 0.0
         if local.slots:
-            used = local.demand * local.cost * senders / local.slots
+            used = find_utilisation(local, senders)
             work = senders * self._find_work([local, *remotes.values()])
             for name, remote in remotes.items():
                 fraction = self._move(name, local, remote, used, now)
@@ -95,7 +92,6 @@
         if excess > 1.0:
             fractions = {n: f / excess for n, f in fractions.items()}
         self.fractions = fractions
-        return used
 
     def choose(self, draw):
         """Return the data centre that a send goes to, or None for the own.
@@ -160,3 +156,16 @@
         _, backoff_s = self._retries.get(name, (0.0, MIN_BACKOFF_S / 2))
         backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         self._retries[name] = (now + backoff_s, backoff_s)
+
+
+def find_utilisation(side, senders):
+    """Return how many sends are in flight for each slot of a data centre.
+
+    Sends that wait for a slot count too.
+
+    :param side: its Side.
+    :param senders: instances that send as much as this one.
+    """
+    if not side.slots:
+        return 0.0
+    return side.demand * side.cost * senders / side.slots
--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -5,6 +5,8 @@
 urgent one by over 5 in 100, and none starves.
 """
 
+import statistics
+
 import pytest
 
 from bench import load
@@ -14,6 +16,8 @@
 
 SEEDS = plays.SEEDS
 LIMITED = ['limited_targets', 'scarce_rates']
+# Patterns of which sends should stay, or leave only as far as needed.
+STAYING = ['even_load', 'short_data_centre']
 MAX_BEHIND = 0.05
 STARVING_PART = 0.25
 COLD_OVERAGE = 1.5
@@ -25,6 +29,7 @@
     """Play all patterns, in the order in which the tests need them."""
     pairs = [(name, baseline) for name, baseline, _ in BASELINES]
     pairs.append(('lost_shards', 'no-early-refusal'))
+    pairs += [(name, 'constant-price') for name in STAYING]
     for name, baseline in pairs:
         _submit(name, 'savorycross')
         _submit(name, baseline)
@@ -54,6 +59,14 @@
     return min(report.worth_by_window())
 
 
+def _speed(report):
+    return -statistics.mean(o.took_s for o in report.outcomes)
+
+
+def _remote_share(report):
+    return report.remote_sends / report.first_sends
+
+
 def _share_served(report, kind):
     served = (outcome.Result.IN_TIME, outcome.Result.LATE)
     return sum(report.share(result, kind) for result in served)
@@ -72,6 +85,7 @@
     ('dark_targets', 'random-target', _worth),
     ('lost_instances', 'all-instances', _worth),
     ('cold_start', 'all-instances', _worth),
+    ('uneven_callers', 'constant-price', _speed),
 ]
 
 
@@ -81,6 +95,16 @@
     assert got > _mean(name, baseline, measure)
 
 
+@pytest.mark.parametrize('name', STAYING)
+def test_sends_leave_only_for_a_gain(name):
+    """Guards against bytes over links, and latency, for nothing."""
+    constant = 'constant-price'
+    remote = _mean(name, 'savorycross', _remote_share)
+    assert remote < _mean(name, constant, _remote_share) + 0.05
+    speed = _mean(name, 'savorycross', _speed)
+    assert speed > 1.05 * _mean(name, constant, _speed)
+
+
 def test_call_that_cannot_succeed_is_refused_as_not_run():
     """Both seeds must count, as the lost shards differ."""
 
