--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -29,6 +29,7 @@
 from savorycross.gateway import stop_plan
 from savorycross.gateway import store_changes
 from savorycross.gateway import supervisor
+from savorycross.locality import locality
 from savorycross.metrics import loop_load
 from savorycross.metrics import process_usage
 from savorycross.metrics import registry
@@ -140,6 +141,7 @@
         )
         self._make_rates()
         self._make_quotas()
+        self._make_locality()
         self._engine = engines.Engine(
             settings,
             self._adapter.make_dialect(),
@@ -153,6 +155,7 @@
             self.metrics,
             self._rates,
             buffers=self._buffers,
+            locality=self._locality,
         )
         self._freshness = freshness.Freshness(settings.revocation_s)
         self._gateway = gateways.Gateway(
@@ -210,6 +213,14 @@
             ),
         )
 
+    def _make_locality(self):
+        self._locality = locality.Locality(
+            self._settings.data_centre,
+            self._rng,
+            self.log,
+            self._settings.link_byte_s,
+        )
+
     def _find_rate_address(self, name):
         host = self._peer_registry.find_host(name)
         return (host, self._settings.rate_address[1]) if host else None
@@ -457,6 +468,7 @@
         now = trio.current_time()
         self._engine.set_shares(self._directory.shares(now))
         rate_shares = self._directory.rate_shares(now)
+        self._locality.set_senders(self._directory.count_local(now))
         self._rates.set_shares(rate_shares, now)
         serving = {p.name for p in self._peer_registry.serving_peers(now)}
         self._quotas.set_view(
@@ -525,6 +537,8 @@
         gauge('waiting', self._engine.count_waiting())
         gauge('workspaces_limited', self._quotas.count_limited())
         gauge('quota_waiting', self._gateway.count_held())
+        gauge('services_leaving', self._locality.count_leaving())
+        self._locality.use.set_gauges(self.metrics)
         gauge('delegates', self._engine.delegates.count(now))
         usage = {
             'memory_bytes': process_usage.read_resident_bytes(),
@@ -565,6 +579,7 @@
         self._settings = settings
         self._engine.update_settings(settings)
         self._freshness.bound_s = settings.revocation_s
+        self._locality.byte_value_s = settings.link_byte_s
         self._memory_guard.set_memory(settings.memory_bytes)
         self.log.event('settings.changed')
 
--- /dev/null
+++ b/savorycross/locality/service_load.py
@@ -0,0 +1,178 @@
+"""What an instance knows of a service's targets in each data centre."""
+
+from savorycross.locality import spill
+
+# Answers that are older tell nothing of the present load.
+MAX_SAMPLE_AGE_S = 2.0
+DEMAND_HALF_LIFE_S = 1.0
+# Assumed size of a request with its reply until some were measured.
+INITIAL_BYTES = 1000.0
+BYTES_WEIGHT = 0.1
+# Assumed until the first sends.
+INITIAL_TYPICAL_S = 0.01
+MIN_TYPICAL_S = 0.001
+# Between two looks at a service whose sends all stay.
+QUIET_INTERVAL_S = 0.5
+MIN_ELAPSED_S = 0.01
+# A failure costs the time of two more sends and a part of the budget for
+# extra sends.
+FAILURE_PENALTY = 4.0
+# Change of a fraction that is logged.
+LOGGED_CHANGE = 0.2
+
+
+class ServiceLoad:
+    """The demand for a service by data centre, and its Spill.
+
+    ``decision`` is the Spill, ``step_at`` the runtime clock time of its next
+    step, and ``logged`` holds the fractions at the latest event in the log.
+    ``has_local`` tells whether targets of the own data centre take sends.
+
+    :param now: runtime clock time in seconds.
+    """
+
+    def __init__(self, now):
+        self.decision = spill.Spill()
+        self.step_at = now
+        self.logged = {}
+        self.has_local = True
+        self._looked_at = now
+        self._measured_at = {}
+        self._bytes = INITIAL_BYTES
+        self._typical_s = INITIAL_TYPICAL_S
+        self._demands = {}
+        self._totals = {}
+
+    def record_bytes(self, count):
+        """Add the size of a request and its reply to the moving average."""
+        self._bytes += BYTES_WEIGHT * (count - self._bytes)
+
+    def step(self, own, states, senders, byte_value_s, now):
+        """Move the fractions by one step.
+
+        :param own: name of the own data centre.
+        :param states: TargetStates of the service that may get work.
+        :param senders: instances of the own data centre that send.
+        :param byte_value_s: seconds of latency that a byte is worth.
+        :param now: runtime clock time in seconds.
+        :returns: pair of the slots and the utilisation of the own targets.
+        """
+        idle_s = now - self._looked_at
+        self._looked_at = now
+        if idle_s > MAX_SAMPLE_AGE_S:
+            # What was known is outdated, so the present order holds again.
+            self.decision = spill.Spill()
+            self._totals.clear()
+        elif len(self._totals) > 2 * len(states):
+            self._forget_targets(states)
+        groups = {own: []}
+        for state in states:
+            groups.setdefault(state.target.data_centre, []).append(state)
+        local = self._measure(own, groups.pop(own), 0.0, now)
+        self.has_local = local.slots > 0
+        used = spill.find_utilisation(local, senders)
+        self.step_at = now + spill.STEP_INTERVAL_S
+        if not self.decision.fractions and used <= spill.SPILL_UTILISATION:
+            # Most services at most times; this is all that they cost.
+            self.step_at = now + QUIET_INTERVAL_S
+            return local.slots, used
+        price = self._bytes * byte_value_s / self._typical_s
+        sides = {
+            name: self._measure(name, group, price, now)
+            for name, group in sorted(groups.items())
+        }
+        self.decision.step(local, sides, senders, now)
+        return local.slots, used
+
+    def explain(self, data_centre):
+        """Return why a first send goes to another data centre."""
+        if not self.has_local:
+            return 'no_local_target'
+        if data_centre in self.decision.fractions:
+            return 'fraction'
+        return 'score'
+
+    def note_change(self):
+        """Return whether the fractions differ from those in the log.
+
+        Probes don't count, as they come and go.
+        """
+        fractions = {
+            name: fraction
+            for name, fraction in self.decision.fractions.items()
+            if fraction > spill.PROBE
+        }
+        if fractions.keys() == self.logged.keys() and all(
+            abs(fraction - self.logged[name]) < LOGGED_CHANGE
+            for name, fraction in fractions.items()
+        ):
+            return False
+        self.logged = fractions
+        return True
+
+    def _measure(self, data_centre, states, price, now):
+        """Return the Side of a data centre.
+
+        :param states: TargetStates of its targets.
+        :param price: cost of a send's bytes over the link to it.
+        """
+        if not states:
+            return spill.Side(0.0, 0.0, 0.0)
+        measured_at = self._measured_at.get(
+            data_centre, now - spill.STEP_INTERVAL_S
+        )
+        self._measured_at[data_centre] = now
+        elapsed_s = max(now - measured_at, MIN_ELAPSED_S)
+        weight = 1.0 - 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
+        demand = self._demands.get(data_centre, 0.0)
+        demand += weight * (self._count_offered(states) / elapsed_s - demand)
+        self._demands[data_centre] = demand
+        open_states = [s for s in states if _is_open(s, now)]
+        costs = [_find_cost(s, now) for s in open_states or states]
+        return spill.Side(
+            slots=sum(s.target.slots for s in open_states),
+            demand=demand,
+            cost=sum(costs) / len(costs) + price,
+            is_known=any(
+                now - s.sampled_at < MAX_SAMPLE_AGE_S for s in states
+            ),
+        )
+
+    def _forget_targets(self, states):
+        """Forget targets that may get no work any more."""
+        ids = {s.target.id for s in states}
+        self._totals = {i: t for i, t in self._totals.items() if i in ids}
+
+    def _count_offered(self, states):
+        """Return the typical latencies of the sends since the latest step.
+
+        :returns: their sum in seconds.
+        """
+        sends = offered_s = 0.0
+        for state in states:
+            id_ = state.target.id
+            total = state.sends, state.offered_s
+            former = self._totals.get(id_, total)
+            self._totals[id_] = total
+            # A new incarnation of a target counts from 0.
+            sends += max(0, total[0] - former[0])
+            offered_s += max(0.0, total[1] - former[1])
+        if sends:
+            self._typical_s = max(offered_s / sends, MIN_TYPICAL_S)
+        return offered_s
+
+
+def _find_cost(state, now):
+    return state.relative_latency(now) + FAILURE_PENALTY * state.failure_rate(
+        now
+    )
+
+
+def _is_open(state, now):
+    """Return whether a target takes as many sends as it has slots."""
+    return not (
+        state.is_ejected(now)
+        or state.is_cold(now)
+        or state.is_paused(now)
+        or state.rate.is_limited
+    )
