Bound the heartbeats of an instance in large fleets

Each instance sent a heartbeat to each local peer every 0.4 s, with a row for each known instance: 29, 260 and 1,962 KB/s at 30, 100 and 300 instances.

Once a data centre has more than 8 instances, an instance probes one local peer in 0.13 s and another data centre now and then, after SWIM (Das, Gupta and Motivala, 2002). Heartbeats carry up to 12 changes, 6 other rows in turn and the holder of the newest revision. Rows carry whether the store answers, so that the duty to watch needs no direct heartbeats. Smaller fleets, and fleets with an instance of an older version, exchange what they did; the format number stays, all new fields are optional and trailing.

A stopping instance tells up to 400 others itself. New instances ask for the status of all in each step, which takes up to 6 s.

--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -11,6 +11,7 @@
 
 _Load = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
 _Capacity = typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+_Age = typing.Annotated[int, msgspec.Meta(ge=0)]
 _Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 # Version of the message format; messages of other versions are dropped.
@@ -53,18 +54,56 @@
     :param load: percentage of a core that the instance uses.
     :param capacity: processor that it can use, in thousandths of a core; 0
         if it is not known.
+    :param store_state: STORE_UNKNOWN, STORE_LOST or STORE_REACHED.
     """
 
     id: int
-    age_ms: typing.Annotated[int, msgspec.Meta(ge=0)]
+    age_ms: _Age
     flags: int
     load: _Load = 0
     capacity: _Capacity = 0
+    store_state: int = 0
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """Tells that an instance left probes unanswered.
+
+    :param id: ``Peer.id`` of the instance.
+    :param age_ms: milliseconds since the first of these probes was sent.
+    """
+
+    id: int
+    age_ms: _Age
+
+
+class NewestRevision(msgspec.Struct, frozen=True, array_like=True):
+    """Names an instance that has a newer revision of the store.
+
+    :param era: era of the revision.
+    :param revision: its number.
+    :param holder: ``Peer.id`` of the instance.
+    """
+
+    era: int
+    revision: int
+    holder: int
 
 
 READY = 1
 LEAVING = 2
 
+STORE_UNKNOWN = 0
+STORE_LOST = 1
+STORE_REACHED = 2
+
+# What the sender expects. Versions without probes send 0, and send to all
+# instances of their data centre in each interval.
+SENDS_TO_ALL = 0
+NO_ANSWER = 1
+ANSWER = 2
+# An answer with a row for each instance, which a new instance asks for.
+FULL_ANSWER = 3
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Is the content of one datagram.
@@ -82,6 +121,12 @@
     :param configuration: version of the configuration that the sender has in
         force; 0 if it has none or does not tell.
     :param capacity: see StatusRow; of the sender.
+    :param expects: SENDS_TO_ALL, NO_ANSWER, ANSWER or FULL_ANSWER.
+    :param suspicions: instances that may have ended.
+    :param older_age_ms: milliseconds since any instance heard a version that
+        sends SENDS_TO_ALL, or None if that is long ago.
+    :param newest: NewestRevision that the sender knows of, or None if it has
+        that revision itself.
     """
 
     format: int
@@ -96,6 +141,10 @@
     era: int = 0
     configuration: int = 0
     capacity: _Capacity = 0
+    expects: int = SENDS_TO_ALL
+    suspicions: tuple[Suspicion, ...] = ()
+    newest: NewestRevision | None = None
+    older_age_ms: _Age | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/heartbeat_transport.py
+++ b/savorycross/fleet/heartbeat_transport.py
@@ -5,7 +5,7 @@
 import trio
 
 from savorycross.fleet import heartbeat
-from savorycross.fleet import peer_registry
+from savorycross.fleet import heartbeat_planner
 from savorycross.wire import binding
 
 MAX_DATAGRAM_BYTES = 16384
@@ -16,18 +16,16 @@
 
     :param peers: PeerRegistry.
     :param seeds: addresses that get heartbeats while no peer is known.
-    :param describe: callable that returns this instance's own status as a
-        dictionary: the fields ``flags``, ``revision``, ``era``,
-        ``configuration``, ``has_store`` and ``load`` of a Heartbeat.
-    :param rng: random.Random that chooses among remote peers.
+    :param describe: see HeartbeatPlanner.
+    :param rng: random.Random that chooses among peers.
     :param metrics: Registry.
     """
 
     def __init__(self, peers, seeds, describe, rng, metrics):
         self._peers = peers
-        self._seeds = [s for s in seeds if s != peers.own.address]
-        self._describe = describe
-        self._rng = rng
+        self._planner = heartbeat_planner.HeartbeatPlanner(
+            peers, seeds, describe, rng
+        )
         self._metrics = metrics
         self._socket = None
 
@@ -39,51 +37,30 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 while True:
-                    self._peers.tick(trio.current_time())
-                    await self.send()
-                    await trio.sleep(peer_registry.HEARTBEAT_INTERVAL_S)
+                    await self._send_all(
+                        self._planner.plan(trio.current_time())
+                    )
+                    await trio.sleep(self._planner.interval_s)
 
-    async def send(self, to_all=False):
-        """Send heartbeats to all local peers and some remote ones.
+    async def send_farewell(self):
+        """Tell other instances at once that this one stops."""
+        if self._socket is not None:
+            await self._send_all(
+                self._planner.plan_farewell(trio.current_time())
+            )
 
-        :param to_all: whether every other data centre gets a heartbeat.
-        """
-        if self._socket is None:
-            return
-        local = self._peers.local_addresses()
-        remote = self._peers.remote_addresses()
-        probability = peer_registry.REMOTE_MESSAGES_PER_INTERVAL / (
-            len(local) + 1
-        )
-        chosen = [
-            self._rng.choice(addresses)
-            for addresses in remote
-            if to_all or self._rng.random() < probability
-        ]
-        if not local and not remote:
-            chosen = self._seeds
-        now = trio.current_time()
-        rows = self._peers.status_rows(now)
-        for address in local:
-            await self._send_heartbeat(address, rows)
-        pending = self._peers.pending_addresses()
-        for address in {*chosen, *pending}.difference(local):
-            rows = self._peers.remote_status_rows(address, now)
-            await self._send_heartbeat(address, rows)
+    async def _send_all(self, planned):
+        for address, message in planned:
+            await self._send(address, message)
 
-    async def _send_heartbeat(self, address, rows):
-        message = heartbeat.Heartbeat(
-            format=heartbeat.FORMAT,
-            sender=self._peers.own.id,
-            rows=rows,
-            asked=self._peers.unknown_ids(address),
-            peers=self._peers.take_requested_peers(address),
-            **self._describe(),
-        )
+    async def _send(self, address, message):
+        data = heartbeat.encode(message)
         try:
-            await self._socket.sendto(heartbeat.encode(message), address)
+            await self._socket.sendto(data, address)
         except OSError:
             self._metrics.count('heartbeat_send_errors')
+            return
+        self._metrics.count('heartbeat_sent_bytes', len(data))
 
     async def _receive(self):
         while True:
@@ -92,9 +69,14 @@
             except OSError:
                 self._metrics.count('heartbeat_receive_errors')
                 continue
+            self._metrics.count('heartbeat_received_bytes', len(data))
             try:
                 message = heartbeat.decode(data)
             except ValueError:
                 self._metrics.count('heartbeat_invalid')
                 continue
-            self._peers.on_heartbeat(message, address, trio.current_time())
+            now = trio.current_time()
+            self._peers.on_heartbeat(message, address, now)
+            answer = self._planner.answer(message, address, now)
+            if answer is not None:
+                await self._send(address, answer)
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -1,82 +1,89 @@
 """The registry of known instances and the detection of failed ones."""
 
-import dataclasses
+import collections
 
 import xxhash
 
 from savorycross.discovery import item as items
 from savorycross.fleet import heartbeat as heartbeats
+from savorycross.fleet import introductions
+from savorycross.fleet import newest_revision
+from savorycross.fleet import peer_state
+from savorycross.fleet import rumours
 
 HEARTBEAT_INTERVAL_S = 0.4
 # Tolerates three lost heartbeats in a row.
 DEAD_AFTER_S = 1.7
 # Heartbeats between data centres are less frequent.
 REMOTE_DEAD_AFTER_S = 2.6
-# Average number of heartbeats from one data centre to another in an interval.
-REMOTE_MESSAGES_PER_INTERVAL = 1.5
 # Silent instances are removed after this time.
 FORGET_AFTER_S = 20.0
-# An instance counts as new for this time after it was registered; an unknown
-# id is asked for no longer than this.
-INTRODUCTION_S = 5.0
-# Unknown ids that are asked for, and Peers that one heartbeat returns.
-MAX_PEER_LOOKUPS = 24
-
-
-@dataclasses.dataclass(slots=True)
-class PeerState:
-    """Holds the newest status of a peer.
-
-    Times are those of the runtime clock, in seconds.
-
-    :param peer: Peer.
-    :param registered_at: when the peer was registered.
-    :param heard_at: when any instance received a heartbeat from the peer,
-        as far as known, or None.
-    :param heard_directly_at: when this instance received one, or None.
-    :param flags: READY and LEAVING.
-    :param revision: the store's Revision that the peer has seen.
-    :param configuration: version of the configuration in force there.
-    :param has_store: whether the store answers the peer.
-    :param load: percentage of a core that the peer uses.
-    :param capacity: processor that it can use, in thousandths of a core; 0
-        if it is not known.
-    """
-
-    peer: object
-    registered_at: float
-    heard_at: float | None = None
-    heard_directly_at: float | None = None
-    flags: int = 0
-    revision: items.Revision = items.NO_REVISION
-    configuration: int = 0
-    has_store: bool = False
-    load: int = 0
-    capacity: int = 0
+# Rows of unknown instances that were heard longer ago are ignored.
+UNKNOWN_AGE_S = 1.7
+LARGE_UNKNOWN_AGE_S = 10.0
+# All exchange everything until no older version was heard for this time.
+OLDER_VERSION_S = 5.0
+# Instances of a data centre up to which all of them exchange everything.
+FULL_EXCHANGE_MAX = 8
+# A suspected instance is dead if nobody has heard it for this long after the
+# first probe that it left unanswered.
+SUSPICION_S = 1.7
+# Time that is left for contradictions once an instance learns of a
+# suspicion.
+MIN_SUSPICION_S = 0.6
+# Instances are suspected only while others of their data centre are heard.
+CONNECTED_S = 1.2
+# Change of the load, in percentage points, that is passed on at once.
+LOAD_CHANGE = 10
+# An instance that has not heard of a larger part of the others asks for the
+# status of all.
+MAX_UNHEARD_SHARE = 0.05
 
 
 class PeerRegistry:
-    """Tracks other instances and detects their failure by gossip.
+    """Tracks other instances and detects their failure.
+
+    In small fleets, instances of one data centre send heartbeats to each
+    other; between data centres, a few heartbeats carry the status of the
+    sender's own data centre. An instance that nobody has heard for some time
+    is dead (van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection
+    Service", 1998).
 
-    Instances of one data centre send heartbeats to each other; between data
-    centres, a few heartbeats carry the status of the sender's own data
-    centre.
+    Once a data centre has more than ``full_exchange_max`` instances, and none
+    is of a version that answers no probes, an
+    instance is alive until it leaves probes unanswered and nobody
+    contradicts, as long as any instance of its data centre is heard (Das,
+    Gupta and Motivala, "SWIM", 2002). Suspicions and contradictions are
+    ordered by the time for which they speak, not by incarnation numbers.
 
-    Source of the method: van Renesse, Minsky and Hayden, "A Gossip-Style
-    Failure Detection Service", 1998.
+    ``is_large`` tells whether the second way is used, ``unheard_share`` the
+    part of the known instances that were never heard.
 
     :param own: this instance's Peer.
     :param log: EventLog.
+    :param full_exchange_max: instances of a data centre up to which all of
+        them exchange everything.
     """
 
-    def __init__(self, own, log):
+    def __init__(self, own, log, full_exchange_max=FULL_EXCHANGE_MAX):
         self.own = own
+        self.introductions = introductions.Introductions()
+        self.changes = rumours.RumourQueue()
+        self.suspicions = rumours.RumourQueue()
+        self.newest = newest_revision.NewestRevision()
+        self.is_large = False
+        self.unheard_share = 0.0
+        self._older_heard_at = None
         self._log = log
+        self._full_exchange_max = full_exchange_max
         self._by_name = {}
         self._by_id = {}
+        self._sizes = collections.Counter([own.data_centre])
+        # The PeerState heard last of each data centre.
+        self._freshest = {}
+        self._freshest_at = {}
         self._alive = set()
-        self._unknown_ids = {}
-        self._requested_ids = {}
+        self._new_suspects = []
 
     def register(self, peer, now):
         """Add a peer, or a newer incarnation of one.
@@ -92,14 +99,17 @@
             if previous.peer == peer:
                 return
             is_newer = peer.started_at > previous.peer.started_at
-            silent_s = now - _last_seen_at(previous)
-            if not is_newer and silent_s < REMOTE_DEAD_AFTER_S:
+            silent_s = now - previous.last_seen_at
+            if not is_newer and (
+                self.is_alive(previous, now) or silent_s < REMOTE_DEAD_AFTER_S
+            ):
                 return
-            self._by_id.pop(previous.peer.id, None)
-        state = PeerState(peer, now)
+            self._remove(previous)
+        state = peer_state.PeerState(peer, now)
         self._by_name[peer.name] = state
         self._by_id[peer.id] = state
-        self._unknown_ids.pop(peer.id, None)
+        self._sizes[peer.data_centre] += 1
+        self.introductions.record_known(peer.id)
 
     def on_heartbeat(self, heartbeat, address, now):
         """Update the registry from a heartbeat.
@@ -111,28 +121,70 @@
         for peer in heartbeat.peers:
             self.register(peer, now)
         if heartbeat.asked:
-            self._requested_ids[address] = heartbeat.asked
+            self.introductions.add_requested(heartbeat.asked, address)
         for row in heartbeat.rows:
             self._apply_row(row, address, now)
+        self._note_version(heartbeat, now)
+        for suspicion in heartbeat.suspicions:
+            state = self._by_id.get(suspicion.id)
+            if state is not None:
+                self.suspect(state, now - suspicion.age_ms / 1000, now)
+        self._learn_revision(heartbeat, now)
         state = self._by_id.get(heartbeat.sender)
         if state is None:
-            self._add_unknown(heartbeat.sender, address, now)
+            self.introductions.add_unknown(heartbeat.sender, address, now)
+            return
+        self._update(state, heartbeat, now, state.apply_heartbeat)
+
+    def suspect(self, state, since, now):
+        """Suspect a peer, unless it was heard after a time.
+
+        The times of suspicions agree on all instances, so they take the peer
+        for dead at the same time.
+
+        :param since: when the first probe was sent that it left unanswered.
+        """
+        if state.heard_at is None or not self.is_large:
+            return
+        if state.heard_at >= since:
+            self.changes.add(state.peer.id)
+            if (state.heard_directly_at or 0.0) < since:
+                self._new_suspects.append(state)
             return
-        state.heard_at = now
-        state.heard_directly_at = now
-        state.flags = heartbeat.flags
-        state.revision = items.Revision(heartbeat.era, heartbeat.revision)
-        state.configuration = heartbeat.configuration
-        state.has_store = heartbeat.has_store
-        state.load = heartbeat.load
-        state.capacity = heartbeat.capacity
+        dead_at = max(since + SUSPICION_S, now + MIN_SUSPICION_S)
+        if state.suspected_at is None:
+            state.suspected_at = since
+            state.dead_at = dead_at
+            self.suspicions.add(state.peer.id)
+            self._new_suspects.append(state)
+        elif since < state.suspected_at:
+            state.suspected_at = since
+            state.dead_at = min(dead_at, state.dead_at)
+
+    def suspect_silent(self, state, since, now):
+        """Suspect a peer that left probes of this instance unanswered."""
+        heard_at = self._freshest_at.get(state.peer.data_centre)
+        if heard_at is None or now - heard_at > CONNECTED_S:
+            return
+        if state.suspected_at is None and since > (state.heard_at or now):
+            self.suspect(state, since, now)
+
+    def take_new_suspects(self):
+        """Return the PeerStates to probe since the last call.
+
+        They are newly suspected, or others heard them later than those that
+        suspect them.
+        """
+        taken, self._new_suspects = self._new_suspects, []
+        return taken
 
     def tick(self, now):
         """Log peers that became alive or silent, and remove old entries."""
+        self._update_mode(now)
         alive = {
             s.peer.name
             for s in self._by_name.values()
-            if self._is_alive(s, now)
+            if self.is_alive(s, now)
         }
         for name in sorted(alive - self._alive):
             self._log.event('instance.heard', peer=name)
@@ -145,15 +197,16 @@
                 heard_s_ago=_seconds_since_heard(state, now),
             )
         self._alive = alive
-        self._unknown_ids = {
-            id_: lookup
-            for id_, lookup in self._unknown_ids.items()
-            if now - lookup[1] < INTRODUCTION_S
-        }
-        for name, state in list(self._by_name.items()):
-            if now - _last_seen_at(state) > FORGET_AFTER_S:
-                del self._by_name[name]
-                self._by_id.pop(state.peer.id, None)
+        unheard = sum(s.heard_at is None for s in self._by_name.values())
+        self.unheard_share = unheard / max(len(self._by_name), 1)
+        self.introductions.expire(now)
+        for state in list(self._by_name.values()):
+            if state.peer.name in alive:
+                state.alive_at = now
+            elif now - state.last_seen_at > FORGET_AFTER_S and (
+                now - state.alive_at > FORGET_AFTER_S
+            ):
+                self._remove(state)
 
     def count(self, now):
         """Return the number of instances that may send, this one included."""
@@ -168,12 +221,20 @@
             or now - s.registered_at < 2 * DEAD_AFTER_S
         ]
 
+    def states(self):
+        """Return the PeerStates of all known peers."""
+        return list(self._by_name.values())
+
+    def live_states(self, now):
+        """Return the PeerStates of live peers."""
+        return [s for s in self._by_name.values() if self.is_alive(s, now)]
+
     def serving_states(self, now):
         """Return the PeerStates of live peers that are ready for callers."""
         return [
             s
             for s in self._by_name.values()
-            if s.flags == heartbeats.READY and self._is_alive(s, now)
+            if s.flags == heartbeats.READY and self.is_alive(s, now)
         ]
 
     def serving_peers(self, now):
@@ -189,28 +250,32 @@
             s
             for s in self._by_name.values()
             if s.peer.data_centre == self.own.data_centre
-            and s.heard_directly_at is not None
+            and (s.heard_directly_at is not None or self.is_large)
             and not s.flags & heartbeats.LEAVING
-            and self._is_alive(s, now)
+            and self.is_alive(s, now)
         ]
 
     def count_data_centres(self):
         """Return the number of data centres with a known instance."""
-        names = {s.peer.data_centre for s in self._by_name.values()}
-        return len(names | {self.own.data_centre})
+        return len(self._sizes)
 
     def find_ahead(self, revision, now, excluded=frozenset()):
         """Return the PeerState of the peer with the newest store revision.
 
-        Only peers that this instance itself has heard recently count.
+        Only peers count that this instance itself has heard recently, or
+        that others named as holders of a revision.
 
         :param revision: the store's Revision that this instance has seen.
         :param excluded: names of peers that do not count.
         :returns: None if no peer has seen a newer one.
         """
+        candidates = self._list_heard_directly(now)
+        holder = self._find_holder(revision, now)
+        if holder is not None:
+            candidates.append(holder)
         ahead = [
             s
-            for s in self._list_heard_directly(now)
+            for s in candidates
             if s.revision > revision and s.peer.name not in excluded
         ]
         return max(ahead, key=self._rank_source, default=None)
@@ -228,137 +293,212 @@
         ]
         return max(newer, key=lambda s: s.configuration, default=None)
 
-    def _list_heard_directly(self, now):
-        return [
-            s
-            for s in self._by_name.values()
-            if s.heard_directly_at is not None
-            and now - s.heard_directly_at < REMOTE_DEAD_AFTER_S
-        ]
-
-    def _rank_source(self, state):
-        """Return the key by which sources of changes are compared.
-
-        Among the newest, those nearby are preferred, and instances choose
-        different ones.
-        """
-        peer = state.peer
-        is_local = peer.data_centre == self.own.data_centre
-        digest = xxhash.xxh32_intdigest(f'{self.own.name}|{peer.name}')
-        return state.revision, is_local, digest
-
     def find_host(self, name):
         """Return the host of an instance, or None if it is not known."""
         state = self._by_name.get(name)
         return state.peer.address[0] if state is not None else None
 
-    def local_addresses(self):
-        """Return the addresses of the peers in this data centre."""
+    def find_state(self, id_):
+        """Return the PeerState of an id, or None."""
+        return self._by_id.get(id_)
+
+    def list_local(self):
+        """Return the PeerStates of this data centre."""
         return [
-            s.peer.address
+            s
             for s in self._by_name.values()
             if s.peer.data_centre == self.own.data_centre
         ]
 
-    def remote_addresses(self):
-        """Return lists of addresses, one for each other data centre."""
+    def list_remote(self):
+        """Return lists of PeerStates, one for each other data centre."""
         by_data_centre = {}
         for state in self._by_name.values():
-            peer = state.peer
-            if peer.data_centre != self.own.data_centre:
-                by_data_centre.setdefault(peer.data_centre, []).append(
-                    peer.address
-                )
+            data_centre = state.peer.data_centre
+            if data_centre != self.own.data_centre:
+                by_data_centre.setdefault(data_centre, []).append(state)
         return list(by_data_centre.values())
 
-    def remote_status_rows(self, address, now):
-        """Return the StatusRows of a heartbeat to another data centre.
+    def freshest_ids(self, since):
+        """Return the ids of instances heard last in other data centres.
 
-        They cover the instances of this data centre. A receiver that is new
-        also gets those of its own data centre.
+        :param since: time after which they must have been heard.
         """
-        data_centres = {self.own.data_centre}
-        for state in self._by_name.values():
-            if state.peer.address != address:
-                continue
-            if now - state.registered_at < INTRODUCTION_S:
-                data_centres.add(state.peer.data_centre)
-        return self.status_rows(now, data_centres)
-
-    def status_rows(self, now, data_centres=None):
-        """Return a StatusRow for each instance heard recently.
-
-        :param data_centres: names of the data centres to include; all if
-            None.
-        """
-        return tuple(
-            heartbeats.StatusRow(
-                s.peer.id,
-                int((now - s.heard_at) * 1000),
-                s.flags,
-                s.load,
-                s.capacity,
-            )
-            for s in self._by_name.values()
-            if s.heard_at is not None
-            and now - s.heard_at < 2 * REMOTE_DEAD_AFTER_S
-            and (data_centres is None or s.peer.data_centre in data_centres)
-        )
+        return [
+            s.peer.id
+            for name, s in self._freshest.items()
+            if name != self.own.data_centre and s.heard_at > since
+        ]
 
-    def unknown_ids(self, address):
-        """Return the unknown ids to ask an address for."""
-        return tuple(
-            id_
-            for id_, (source, _) in self._unknown_ids.items()
-            if source == address
-        )
+    def is_connected(self, now):
+        """Return whether any instance of this data centre is heard."""
+        heard_at = self._freshest_at.get(self.own.data_centre)
+        return heard_at is not None and now - heard_at < DEAD_AFTER_S
 
     def take_requested_peers(self, address):
         """Return the known Peers that an address asked for, once."""
-        asked = self._requested_ids.pop(address, ())
+        asked = self.introductions.take_requested_ids(address)
         peers = [self.own] if self.own.id in asked else []
         peers += [self._by_id[i].peer for i in asked if i in self._by_id]
-        return tuple(peers[:MAX_PEER_LOOKUPS])
+        return tuple(peers[: introductions.MAX_PEER_LOOKUPS])
 
-    def pending_addresses(self):
-        """Return the addresses to ask for unknown ids or to answer."""
-        return {
-            *self._requested_ids,
-            *(source for source, _ in self._unknown_ids.values()),
-        }
+    def is_alive(self, state, now):
+        """Return whether a peer is alive, as far as known."""
+        if state.heard_at is None:
+            return False
+        is_local = state.peer.data_centre == self.own.data_centre
+        timeout_s = DEAD_AFTER_S if is_local else REMOTE_DEAD_AFTER_S
+        if not self.is_large:
+            return now - state.heard_at < timeout_s
+        if state.dead_at is not None and now >= state.dead_at:
+            return False
+        return now - self._freshest_at[state.peer.data_centre] < timeout_s
+
+    def older_age_s(self, now):
+        """Return the seconds since an older version was heard by anyone.
+
+        :returns: None if none was heard for some time.
+        """
+        if self._older_heard_at is None:
+            return None
+        age_s = now - self._older_heard_at
+        return age_s if age_s < OLDER_VERSION_S else None
+
+    def _note_version(self, heartbeat, now):
+        heard_at = None
+        if heartbeat.expects == heartbeats.SENDS_TO_ALL:
+            heard_at = now
+        elif heartbeat.older_age_ms is not None:
+            heard_at = now - heartbeat.older_age_ms / 1000
+        if heard_at is not None:
+            self._older_heard_at = max(self._older_heard_at or 0.0, heard_at)
+
+    def _update_mode(self, now):
+        """Change the way in which failures are detected, if it is due."""
+        is_large = (
+            max(self._sizes.values()) > self._full_exchange_max
+            and self.older_age_s(now) is None
+        )
+        if is_large == self.is_large:
+            return
+        if self.is_large:
+            # Live peers need not have been heard recently in a large fleet.
+            for state in self.live_states(now):
+                state.heard_at = now
+        self.is_large = is_large
+
+    def _remove(self, state):
+        peer = state.peer
+        del self._by_name[peer.name]
+        self._by_id.pop(peer.id, None)
+        self.changes.discard(peer.id)
+        self.suspicions.discard(peer.id)
+        self._sizes[peer.data_centre] -= 1
+        if not self._sizes[peer.data_centre]:
+            del self._sizes[peer.data_centre]
 
     def _apply_row(self, row, address, now):
         if row.id == self.own.id:
             return
         state = self._by_id.get(row.id)
         if state is None:
-            if row.age_ms < DEAD_AFTER_S * 1000:
-                self._add_unknown(row.id, address, now)
+            max_age_s = LARGE_UNKNOWN_AGE_S if self.is_large else UNKNOWN_AGE_S
+            if row.age_ms < max_age_s * 1000:
+                self.introductions.add_unknown(row.id, address, now)
             return
         heard_at = now - row.age_ms / 1000
         if state.heard_at is None or heard_at > state.heard_at:
-            state.heard_at = heard_at
-            state.flags = row.flags
-            state.load = row.load
-            state.capacity = row.capacity
-
-    def _add_unknown(self, id_, address, now):
-        if (
-            id_ in self._unknown_ids
-            or len(self._unknown_ids) < MAX_PEER_LOOKUPS
-        ):
-            self._unknown_ids[id_] = (address, now)
-
-    def _is_alive(self, state, now):
-        if state.heard_at is None:
-            return False
-        is_local = state.peer.data_centre == self.own.data_centre
-        timeout_s = DEAD_AFTER_S if is_local else REMOTE_DEAD_AFTER_S
-        return now - state.heard_at < timeout_s
+            self._update(state, row, heard_at, state.apply_row)
+        if state.suspected_at is not None:
+            # The sender does not know of the suspicion.
+            self.suspicions.add(row.id)
+
+    def _update(self, state, message, heard_at, apply):
+        """Update a peer's status, and pass on what has changed."""
+        is_first = state.heard_at is None
+        before = (state.flags, state.has_store)
+        load, capacity = state.load, state.capacity
+        apply(message, heard_at)
+        self._update_freshest(state)
+        is_cleared = (
+            state.suspected_at is not None
+            and state.heard_at > state.suspected_at
+        )
+        if is_cleared:
+            state.suspected_at = state.dead_at = None
+            self.suspicions.discard(state.peer.id)
+        if is_first:
+            # After a common start, all ask for the status of all others.
+            has_changed = self.unheard_share < MAX_UNHEARD_SHARE
+        else:
+            has_changed = (
+                is_cleared
+                or before != (state.flags, state.has_store)
+                or abs(load - state.load) >= LOAD_CHANGE
+                or capacity != state.capacity
+            )
+        if has_changed:
+            self.changes.add(state.peer.id)
 
+    def _update_freshest(self, state):
+        """Note that a peer was heard, if it is the latest in its centre.
 
-def _last_seen_at(state):
-    return max(state.registered_at, state.heard_at or 0.0)
+        Suspicions from the beginning of an interruption are dropped at its
+        end.
+        """
+        data_centre = state.peer.data_centre
+        heard_at = self._freshest_at.get(data_centre)
+        if heard_at is not None and state.heard_at <= heard_at:
+            return
+        self._freshest[data_centre] = state
+        self._freshest_at[data_centre] = state.heard_at
+        if heard_at is None or state.heard_at - heard_at < DEAD_AFTER_S:
+            return
+        for other in self._by_name.values():
+            if (
+                other.peer.data_centre == data_centre
+                and other.suspected_at is not None
+                and other.suspected_at > heard_at - CONNECTED_S
+            ):
+                other.suspected_at = other.dead_at = None
+                self.suspicions.discard(other.peer.id)
+
+    def _learn_revision(self, heartbeat, now):
+        revision = items.Revision(heartbeat.era, heartbeat.revision)
+        self.newest.learn(revision, heartbeat.sender, now)
+        newest = heartbeat.newest
+        if newest is not None:
+            revision = items.Revision(newest.era, newest.revision)
+            self.newest.learn(revision, newest.holder, now)
+
+    def _find_holder(self, revision, now):
+        """Return the PeerState of the holder of a newer revision, or None."""
+        found = self.newest.find_holder(revision, now)
+        if found is None:
+            return None
+        state = self._by_id.get(found[1])
+        if state is not None:
+            state.revision = max(state.revision, found[0])
+        return state
+
+    def _list_heard_directly(self, now):
+        return [
+            s
+            for s in self._by_name.values()
+            if s.heard_directly_at is not None
+            and now - s.heard_directly_at < REMOTE_DEAD_AFTER_S
+        ]
+
+    def _rank_source(self, state):
+        """Return the key by which sources of changes are compared.
+
+        Among the newest, those nearby are preferred, and instances choose
+        different ones.
+        """
+        peer = state.peer
+        is_local = peer.data_centre == self.own.data_centre
+        digest = xxhash.xxh32_intdigest(f'{self.own.name}|{peer.name}')
+        return state.revision, is_local, digest
 
 
 def _seconds_since_heard(state, now):
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -476,7 +476,7 @@
             lag_s=round(self._loop_load.lag_s, 3),
             serves_s=round(plan.end_at - started_at, 3),
         )
-        self._nursery.start_soon(self._heartbeat_transport.send, True)
+        self._nursery.start_soon(self._heartbeat_transport.send_farewell)
         self._nursery.start_soon(self._announcer.withdraw)
         directory_expired_at = (
             started_at + DIRECTORY_TTL_FACTOR * self._settings.directory_ttl_s
--- a/tests/discovery/test_mirror_machine.py
+++ b/tests/discovery/test_mirror_machine.py
@@ -10,7 +10,7 @@
 from savorycross.discovery import item
 from savorycross.discovery import mirror
 from savorycross.fleet import mirror_sync
-from savorycross.fleet import peer_registry
+from savorycross.fleet import peer_state
 from tests.fleet import test_peer_registry
 from tests import null_log
 
@@ -137,7 +137,7 @@
         """Copy the peer's mirror, or the changes that are missing."""
         after = self.mirror.revision if self.mirror.is_complete else None
         snapshot = mirror_sync.make_snapshot(self.peer, after, self.now)
-        ahead = peer_registry.PeerState(test_peer_registry._peer('b0'), 0.0)
+        ahead = peer_state.PeerState(test_peer_registry._peer('b0'), 0.0)
         with mock.patch('trio.current_time', lambda: self.now):
             self.synchronizer._apply_snapshot(snapshot, ahead)
 
--- a/tests/fleet/test_peer_registry.py
+++ b/tests/fleet/test_peer_registry.py
@@ -6,7 +6,10 @@
 
 from savorycross.discovery import item
 from savorycross.fleet import heartbeat
+from savorycross.fleet import heartbeat_planner
+from savorycross.fleet import introductions
 from savorycross.fleet import peer_registry
+from savorycross.fleet import status_rows
 from tests import null_log
 
 
@@ -28,6 +31,7 @@
         self.now = 100.0
         self.rng = random.Random(5)
         self.members = {}
+        self.planners = {}
         self.down = set()
         self.cut_links = set()
         for data_centre, names in data_centres.items():
@@ -39,8 +43,10 @@
 
     def add(self, peer):
         """Add an instance."""
-        self.members[peer.name] = peer_registry.PeerRegistry(
-            peer, null_log.NullLog()
+        member = peer_registry.PeerRegistry(peer, null_log.NullLog())
+        self.members[peer.name] = member
+        self.planners[peer.name] = heartbeat_planner.HeartbeatPlanner(
+            member, (), _describe, self.rng
         )
 
     def run(self, seconds):
@@ -48,53 +54,35 @@
         until = self.now + seconds
         while self.now < until:
             self.now += peer_registry.HEARTBEAT_INTERVAL_S
-            for name, member in self.members.items():
+            for name in self.members:
                 if name not in self.down:
-                    self._send_heartbeats(name, member)
+                    self._send_heartbeats(name)
 
     def serving(self, name):
         """Return the names of the peers that an instance sees as serving."""
         serving = self.members[name].serving_peers(self.now)
         return sorted(p.name for p in serving)
 
-    def _send_heartbeats(self, name, member):
-        local = member.local_addresses()
-        probability = peer_registry.REMOTE_MESSAGES_PER_INTERVAL / (
-            len(local) + 1
-        )
-        chosen = [
-            self.rng.choice(a)
-            for a in member.remote_addresses()
-            if self.rng.random() < probability
-        ]
-        for address in local:
-            self._deliver(name, member, address, member.status_rows(self.now))
-        for address in {*chosen, *member.pending_addresses()}.difference(
-            local
-        ):
-            rows = member.remote_status_rows(address, self.now)
-            self._deliver(name, member, address, rows)
-
-    def _deliver(self, name, member, address, rows):
-        for other, receiver in self.members.items():
+    def _send_heartbeats(self, name):
+        for address, message in self.planners[name].plan(self.now):
+            self._deliver(name, address, message)
+
+    def _deliver(self, name, address, message):
+        sender = self.members[name].own.address
+        for other, receiver in list(self.members.items()):
             if receiver.own.address != address or other in self.down:
                 continue
             if (name, other) in self.cut_links:
                 continue
-            message = heartbeat.Heartbeat(
-                heartbeat.FORMAT,
-                member.own.id,
-                heartbeat.READY,
-                7,
-                True,
-                rows,
-                member.unknown_ids(address),
-                member.take_requested_peers(address),
-            )
-            data = heartbeat.encode(message)
-            receiver.on_heartbeat(
-                heartbeat.decode(data), member.own.address, self.now
-            )
+            received = heartbeat.decode(heartbeat.encode(message))
+            receiver.on_heartbeat(received, sender, self.now)
+            answer = self.planners[other].answer(received, sender, self.now)
+            if answer is not None:
+                self._deliver(other, sender, answer)
+
+
+def _describe():
+    return {'flags': heartbeat.READY, 'revision': 7, 'has_store': True}
 
 
 def test_all_instances_find_each_other():
@@ -180,13 +168,14 @@
     group = Group(bilbo=names[:7], iruna=names[7:])
     group.run(8)
     member = group.members['a0']
+    rows = status_rows.RowSelector(member, group.rng)
     message = heartbeat.Heartbeat(
         heartbeat.FORMAT,
         member.own.id,
         heartbeat.READY,
         1000,
         True,
-        member.remote_status_rows(group.members['b3'].own.address, group.now),
+        rows.select_for_remote(group.members['b3'].own.address, group.now),
     )
     assert len(heartbeat.encode(message)) < 120
 
@@ -195,9 +184,10 @@
     registry = peer_registry.PeerRegistry(_peer('a'), null_log.NullLog())
     message = heartbeat.Heartbeat(heartbeat.FORMAT, 77, 0, 0, True)
     registry.on_heartbeat(message, ('10.0.0.7', 7740), 0.0)
-    assert registry.pending_addresses() == {('10.0.0.7', 7740)}
-    registry.tick(peer_registry.INTRODUCTION_S + 1.0)
-    assert not registry.pending_addresses()
+    pending = registry.introductions.pending_addresses
+    assert pending() == {('10.0.0.7', 7740)}
+    registry.tick(introductions.INTRODUCTION_S + 1.0)
+    assert not pending()
 
 
 def _hear(registry, name, revision, era=None):
