--- a/savorycross/fleet/heartbeat_planner.py
+++ b/savorycross/fleet/heartbeat_planner.py
@@ -148,7 +148,7 @@
         peers = self._peers
         again, silent = self._probes.check(peers.find_state, now)
         for state, since in silent:
-            peers.suspect_silent(state, since, now)
+            peers.detector.suspect_silent(state, since, now)
         again *= probes.REPEATED_PROBES
         probed = [*self._choose_suspects(), *self._choose_remote()]
         chosen = self._probes.choose(peers.list_local)
@@ -172,7 +172,7 @@
 
     def _choose_suspects(self):
         """Return some of the peers that are newly suspected."""
-        suspects = self._peers.take_new_suspects()
+        suspects = self._peers.detector.take_to_verify()
         probability = SUSPECT_PROBES / (len(self._peers.list_local()) + 1)
         chosen = [
             s
@@ -213,7 +213,7 @@
     def _is_joining(self, now):
         """Return whether this instance lacks the status of many others."""
         lacks_many = (
-            not self._peers.is_connected(now)
+            not self._peers.detector.is_connected(now)
             or self._peers.unheard_share > peer_registry.MAX_UNHEARD_SHARE
         )
         if lacks_many and self._joins_until is None:
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -5,17 +5,15 @@
 import xxhash
 
 from savorycross.discovery import item as items
+from savorycross.fleet import failure_detector
 from savorycross.fleet import heartbeat as heartbeats
 from savorycross.fleet import introductions
 from savorycross.fleet import newest_revision
 from savorycross.fleet import peer_state
-from savorycross.fleet import rumours
 
 HEARTBEAT_INTERVAL_S = 0.4
-# Tolerates three lost heartbeats in a row.
-DEAD_AFTER_S = 1.7
-# Heartbeats between data centres are less frequent.
-REMOTE_DEAD_AFTER_S = 2.6
+DEAD_AFTER_S = failure_detector.DEAD_AFTER_S
+REMOTE_DEAD_AFTER_S = failure_detector.REMOTE_DEAD_AFTER_S
 # Silent instances are removed after this time.
 FORGET_AFTER_S = 20.0
 # Rows of unknown instances that were heard longer ago are ignored.
@@ -25,14 +23,6 @@
 OLDER_VERSION_S = 5.0
 # Instances of a data centre up to which all of them exchange everything.
 FULL_EXCHANGE_MAX = 8
-# A suspected instance is dead if nobody has heard it for this long after the
-# first probe that it left unanswered.
-SUSPICION_S = 1.7
-# Time that is left for contradictions once an instance learns of a
-# suspicion.
-MIN_SUSPICION_S = 0.6
-# Instances are suspected only while others of their data centre are heard.
-CONNECTED_S = 1.2
 # Change of the load, in percentage points, that is passed on at once.
 LOAD_CHANGE = 10
 # An instance that has not heard of a larger part of the others asks for the
@@ -41,23 +31,16 @@
 
 
 class PeerRegistry:
-    """Tracks other instances and detects their failure.
+    """Tracks other instances and what they tell of themselves.
 
-    In small fleets, instances of one data centre send heartbeats to each
-    other; between data centres, a few heartbeats carry the status of the
-    sender's own data centre. An instance that nobody has heard for some time
-    is dead (van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection
-    Service", 1998).
+    Small fleets, and those with an instance of a version that answers no
+    probes, exchange everything: instances of one data centre send heartbeats
+    to each other, and a few heartbeats carry the status of a data centre to
+    others. Once a data centre has more than ``full_exchange_max`` instances,
+    heartbeats carry changes and samples.
 
-    Once a data centre has more than ``full_exchange_max`` instances, and none
-    is of a version that answers no probes, an
-    instance is alive until it leaves probes unanswered and nobody
-    contradicts, as long as any instance of its data centre is heard (Das,
-    Gupta and Motivala, "SWIM", 2002). Suspicions and contradictions are
-    ordered by the time for which they speak, not by incarnation numbers.
-
-    ``is_large`` tells whether the second way is used, ``unheard_share`` the
-    part of the known instances that were never heard.
+    ``unheard_share`` is the part of the known instances that were never
+    heard.
 
     :param own: this instance's Peer.
     :param log: EventLog.
@@ -68,10 +51,8 @@
     def __init__(self, own, log, full_exchange_max=FULL_EXCHANGE_MAX):
         self.own = own
         self.introductions = introductions.Introductions()
-        self.changes = rumours.RumourQueue()
-        self.suspicions = rumours.RumourQueue()
+        self.detector = failure_detector.FailureDetector(own.data_centre)
         self.newest = newest_revision.NewestRevision()
-        self.is_large = False
         self.unheard_share = 0.0
         self._older_heard_at = None
         self._log = log
@@ -79,11 +60,12 @@
         self._by_name = {}
         self._by_id = {}
         self._sizes = collections.Counter([own.data_centre])
-        # The PeerState heard last of each data centre.
-        self._freshest = {}
-        self._freshest_at = {}
         self._alive = set()
-        self._new_suspects = []
+
+    @property
+    def is_large(self):
+        """Return whether heartbeats carry only changes and samples."""
+        return self.detector.is_large
 
     def register(self, peer, now):
         """Add a peer, or a newer incarnation of one.
@@ -101,7 +83,8 @@
             is_newer = peer.started_at > previous.peer.started_at
             silent_s = now - previous.last_seen_at
             if not is_newer and (
-                self.is_alive(previous, now) or silent_s < REMOTE_DEAD_AFTER_S
+                self.detector.is_alive(previous, now)
+                or silent_s < REMOTE_DEAD_AFTER_S
             ):
                 return
             self._remove(previous)
@@ -128,7 +111,9 @@
         for suspicion in heartbeat.suspicions:
             state = self._by_id.get(suspicion.id)
             if state is not None:
-                self.suspect(state, now - suspicion.age_ms / 1000, now)
+                self.detector.suspect(
+                    state, now - suspicion.age_ms / 1000, now
+                )
         self._learn_revision(heartbeat, now)
         state = self._by_id.get(heartbeat.sender)
         if state is None:
@@ -136,55 +121,13 @@
             return
         self._update(state, heartbeat, now, state.apply_heartbeat)
 
-    def suspect(self, state, since, now):
-        """Suspect a peer, unless it was heard after a time.
-
-        The times of suspicions agree on all instances, so they take the peer
-        for dead at the same time.
-
-        :param since: when the first probe was sent that it left unanswered.
-        """
-        if state.heard_at is None or not self.is_large:
-            return
-        if state.heard_at >= since:
-            self.changes.add(state.peer.id)
-            if (state.heard_directly_at or 0.0) < since:
-                self._new_suspects.append(state)
-            return
-        dead_at = max(since + SUSPICION_S, now + MIN_SUSPICION_S)
-        if state.suspected_at is None:
-            state.suspected_at = since
-            state.dead_at = dead_at
-            self.suspicions.add(state.peer.id)
-            self._new_suspects.append(state)
-        elif since < state.suspected_at:
-            state.suspected_at = since
-            state.dead_at = min(dead_at, state.dead_at)
-
-    def suspect_silent(self, state, since, now):
-        """Suspect a peer that left probes of this instance unanswered."""
-        heard_at = self._freshest_at.get(state.peer.data_centre)
-        if heard_at is None or now - heard_at > CONNECTED_S:
-            return
-        if state.suspected_at is None and since > (state.heard_at or now):
-            self.suspect(state, since, now)
-
-    def take_new_suspects(self):
-        """Return the PeerStates to probe since the last call.
-
-        They are newly suspected, or others heard them later than those that
-        suspect them.
-        """
-        taken, self._new_suspects = self._new_suspects, []
-        return taken
-
     def tick(self, now):
         """Log peers that became alive or silent, and remove old entries."""
         self._update_mode(now)
         alive = {
             s.peer.name
             for s in self._by_name.values()
-            if self.is_alive(s, now)
+            if self.detector.is_alive(s, now)
         }
         for name in sorted(alive - self._alive):
             self._log.event('instance.heard', peer=name)
@@ -227,14 +170,16 @@
 
     def live_states(self, now):
         """Return the PeerStates of live peers."""
-        return [s for s in self._by_name.values() if self.is_alive(s, now)]
+        return [
+            s for s in self._by_name.values() if self.detector.is_alive(s, now)
+        ]
 
     def serving_states(self, now):
         """Return the PeerStates of live peers that are ready for callers."""
         return [
             s
             for s in self._by_name.values()
-            if s.flags == heartbeats.READY and self.is_alive(s, now)
+            if s.flags == heartbeats.READY and self.detector.is_alive(s, now)
         ]
 
     def serving_peers(self, now):
@@ -252,7 +197,7 @@
             if s.peer.data_centre == self.own.data_centre
             and (s.heard_directly_at is not None or self.is_large)
             and not s.flags & heartbeats.LEAVING
-            and self.is_alive(s, now)
+            and self.detector.is_alive(s, now)
         ]
 
     def count_data_centres(self):
@@ -319,22 +264,6 @@
                 by_data_centre.setdefault(data_centre, []).append(state)
         return list(by_data_centre.values())
 
-    def freshest_ids(self, since):
-        """Return the ids of instances heard last in other data centres.
-
-        :param since: time after which they must have been heard.
-        """
-        return [
-            s.peer.id
-            for name, s in self._freshest.items()
-            if name != self.own.data_centre and s.heard_at > since
-        ]
-
-    def is_connected(self, now):
-        """Return whether any instance of this data centre is heard."""
-        heard_at = self._freshest_at.get(self.own.data_centre)
-        return heard_at is not None and now - heard_at < DEAD_AFTER_S
-
     def take_requested_peers(self, address):
         """Return the known Peers that an address asked for, once."""
         asked = self.introductions.take_requested_ids(address)
@@ -342,18 +271,6 @@
         peers += [self._by_id[i].peer for i in asked if i in self._by_id]
         return tuple(peers[: introductions.MAX_PEER_LOOKUPS])
 
-    def is_alive(self, state, now):
-        """Return whether a peer is alive, as far as known."""
-        if state.heard_at is None:
-            return False
-        is_local = state.peer.data_centre == self.own.data_centre
-        timeout_s = DEAD_AFTER_S if is_local else REMOTE_DEAD_AFTER_S
-        if not self.is_large:
-            return now - state.heard_at < timeout_s
-        if state.dead_at is not None and now >= state.dead_at:
-            return False
-        return now - self._freshest_at[state.peer.data_centre] < timeout_s
-
     def older_age_s(self, now):
         """Return the seconds since an older version was heard by anyone.
 
@@ -385,14 +302,13 @@
             # Live peers need not have been heard recently in a large fleet.
             for state in self.live_states(now):
                 state.heard_at = now
-        self.is_large = is_large
+        self.detector.is_large = is_large
 
     def _remove(self, state):
         peer = state.peer
         del self._by_name[peer.name]
         self._by_id.pop(peer.id, None)
-        self.changes.discard(peer.id)
-        self.suspicions.discard(peer.id)
+        self.detector.forget(state)
         self._sizes[peer.data_centre] -= 1
         if not self._sizes[peer.data_centre]:
             del self._sizes[peer.data_centre]
@@ -411,7 +327,7 @@
             self._update(state, row, heard_at, state.apply_row)
         if state.suspected_at is not None:
             # The sender does not know of the suspicion.
-            self.suspicions.add(row.id)
+            self.detector.suspicions.add(row.id)
 
     def _update(self, state, message, heard_at, apply):
         """Update a peer's status, and pass on what has changed."""
@@ -419,49 +335,21 @@
         before = (state.flags, state.has_store)
         load, capacity = state.load, state.capacity
         apply(message, heard_at)
-        self._update_freshest(state)
-        is_cleared = (
-            state.suspected_at is not None
-            and state.heard_at > state.suspected_at
+        was_suspected = self.detector.record_heard(
+            state, self._by_name.values()
         )
-        if is_cleared:
-            state.suspected_at = state.dead_at = None
-            self.suspicions.discard(state.peer.id)
         if is_first:
             # After a common start, all ask for the status of all others.
             has_changed = self.unheard_share < MAX_UNHEARD_SHARE
         else:
             has_changed = (
-                is_cleared
+                was_suspected
                 or before != (state.flags, state.has_store)
                 or abs(load - state.load) >= LOAD_CHANGE
                 or capacity != state.capacity
             )
         if has_changed:
-            self.changes.add(state.peer.id)
-
-    def _update_freshest(self, state):
-        """Note that a peer was heard, if it is the latest in its centre.
-
-        Suspicions from the beginning of an interruption are dropped at its
-        end.
-        """
-        data_centre = state.peer.data_centre
-        heard_at = self._freshest_at.get(data_centre)
-        if heard_at is not None and state.heard_at <= heard_at:
-            return
-        self._freshest[data_centre] = state
-        self._freshest_at[data_centre] = state.heard_at
-        if heard_at is None or state.heard_at - heard_at < DEAD_AFTER_S:
-            return
-        for other in self._by_name.values():
-            if (
-                other.peer.data_centre == data_centre
-                and other.suspected_at is not None
-                and other.suspected_at > heard_at - CONNECTED_S
-            ):
-                other.suspected_at = other.dead_at = None
-                self.suspicions.discard(other.peer.id)
+            self.detector.changes.add(state.peer.id)
 
     def _learn_revision(self, heartbeat, now):
         revision = items.Revision(heartbeat.era, heartbeat.revision)
--- a/savorycross/fleet/status_rows.py
+++ b/savorycross/fleet/status_rows.py
@@ -69,7 +69,7 @@
 
     def select_sample(self, now):
         """Return StatusRows of changed instances and of some others."""
-        changed = self._peers.changes.take(MAX_CHANGES)
+        changed = self._peers.detector.changes.take(MAX_CHANGES)
         chosen = dict.fromkeys(changed)
         chosen.update(dict.fromkeys(self._list_freshest(now)))
         chosen.update(dict.fromkeys(self._take_turn(now)))
@@ -82,7 +82,7 @@
 
     def select_suspicions(self, now):
         """Return Suspicions that were not contradicted."""
-        chosen = self._peers.suspicions.take(MAX_SUSPICIONS)
+        chosen = self._peers.detector.suspicions.take(MAX_SUSPICIONS)
         states = (self._peers.find_state(id_) for id_ in chosen)
         return tuple(
             heartbeats.Suspicion(s.peer.id, int((now - s.suspected_at) * 1000))
@@ -95,7 +95,7 @@
 
         They tell that the data centre can be reached.
         """
-        freshest = self._peers.freshest_ids(now - peer_registry.CONNECTED_S)
+        freshest = self._peers.detector.freshest_ids(now)
         if len(freshest) > MAX_DATA_CENTRES:
             freshest = self._rng.sample(freshest, MAX_DATA_CENTRES)
         return freshest
