--- a/savorycross/fleet/failure_detector.py
+++ b/savorycross/fleet/failure_detector.py
@@ -71,7 +71,7 @@
         Those that were not heard recently are left out.
         """
         return [
-            state.peer.id
+            state.id
             for name, state in self._freshest.items()
             if name != self._data_centre
             and now - self._freshest_at[name] < CONNECTED_S
@@ -105,7 +105,7 @@
         if state.suspected_at is None:
             state.suspected_at = since
             state.dead_at = dead_at
-            self.suspicions.add(state.peer.id)
+            self.suspicions.add(state.id)
             self._to_verify.append(state)
         elif since < state.suspected_at:
             state.suspected_at = since
@@ -137,11 +137,11 @@
 
     def forget(self, state):
         """Stop passing on the status of a peer."""
-        self.changes.discard(state.peer.id)
-        self.suspicions.discard(state.peer.id)
+        self.changes.discard(state.id)
+        self.suspicions.discard(state.id)
 
     def _contradict(self, state, since):
-        self.changes.add(state.peer.id)
+        self.changes.add(state.id)
         if (state.heard_directly_at or 0.0) < since:
             self._to_verify.append(state)
 
@@ -169,4 +169,4 @@
 
     def _clear(self, state):
         state.suspected_at = state.dead_at = None
-        self.suspicions.discard(state.peer.id)
+        self.suspicions.discard(state.id)
--- a/savorycross/fleet/heartbeat_planner.py
+++ b/savorycross/fleet/heartbeat_planner.py
@@ -157,7 +157,7 @@
         is_joining = self._is_joining(now)
         planned = []
         for state in [*probed, *again]:
-            self._probes.record_sent(state.peer.id, now)
+            self._probes.record_sent(state.id, now)
             expects = (
                 heartbeats.FULL_ANSWER
                 if state is chosen and is_joining
@@ -173,7 +173,9 @@
     def _choose_suspects(self):
         """Return some of the peers that are newly suspected."""
         suspects = self._peers.detector.take_to_verify()
-        probability = SUSPECT_PROBES / (len(self._peers.list_local()) + 1)
+        if not suspects:
+            return []
+        probability = SUSPECT_PROBES / self._peers.count_local()
         chosen = [
             s
             for s in suspects
@@ -186,7 +188,7 @@
         remote = self._peers.list_remote()
         if not remote:
             return []
-        local_count = len(self._peers.list_local()) + 1
+        local_count = self._peers.count_local()
         probability = min(
             max(
                 REMOTE_PROBES,
@@ -195,7 +197,7 @@
             MAX_REMOTE_PROBES / len(remote),
         )
         return [
-            self._rng.choice(states)
+            self._rng.choice(list(states))
             for states in remote
             if self._rng.random() < probability
         ]
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -1,7 +1,5 @@
 """The registry of known instances and the detection of failed ones."""
 
-import collections
-
 import xxhash
 
 from savorycross.discovery import item as items
@@ -59,7 +57,7 @@
         self._full_exchange_max = full_exchange_max
         self._by_name = {}
         self._by_id = {}
-        self._sizes = collections.Counter([own.data_centre])
+        self._by_data_centre = {}
         self._alive = set()
 
     @property
@@ -91,7 +89,7 @@
         state = peer_state.PeerState(peer, now)
         self._by_name[peer.name] = state
         self._by_id[peer.id] = state
-        self._sizes[peer.data_centre] += 1
+        self._by_data_centre.setdefault(peer.data_centre, {})[peer.id] = state
         self.introductions.record_known(peer.id)
 
     def on_heartbeat(self, heartbeat, address, now):
@@ -202,7 +200,7 @@
 
     def count_data_centres(self):
         """Return the number of data centres with a known instance."""
-        return len(self._sizes)
+        return len({*self._by_data_centre, self.own.data_centre})
 
     def find_ahead(self, revision, now, excluded=frozenset()):
         """Return the PeerState of the peer with the newest store revision.
@@ -249,20 +247,21 @@
 
     def list_local(self):
         """Return the PeerStates of this data centre."""
+        return list(
+            self._by_data_centre.get(self.own.data_centre, {}).values()
+        )
+
+    def list_remote(self):
+        """Return views of PeerStates, one for each other data centre."""
         return [
-            s
-            for s in self._by_name.values()
-            if s.peer.data_centre == self.own.data_centre
+            states.values()
+            for name, states in self._by_data_centre.items()
+            if name != self.own.data_centre
         ]
 
-    def list_remote(self):
-        """Return lists of PeerStates, one for each other data centre."""
-        by_data_centre = {}
-        for state in self._by_name.values():
-            data_centre = state.peer.data_centre
-            if data_centre != self.own.data_centre:
-                by_data_centre.setdefault(data_centre, []).append(state)
-        return list(by_data_centre.values())
+    def count_local(self):
+        """Return the number of known instances here, this one included."""
+        return len(self._by_data_centre.get(self.own.data_centre, ())) + 1
 
     def take_requested_peers(self, address):
         """Return the known Peers that an address asked for, once."""
@@ -292,8 +291,9 @@
 
     def _update_mode(self, now):
         """Change the way in which failures are detected, if it is due."""
+        sizes = [self.count_local(), *map(len, self._by_data_centre.values())]
         is_large = (
-            max(self._sizes.values()) > self._full_exchange_max
+            max(sizes) > self._full_exchange_max
             and self.older_age_s(now) is None
         )
         if is_large == self.is_large:
@@ -309,9 +309,10 @@
         del self._by_name[peer.name]
         self._by_id.pop(peer.id, None)
         self.detector.forget(state)
-        self._sizes[peer.data_centre] -= 1
-        if not self._sizes[peer.data_centre]:
-            del self._sizes[peer.data_centre]
+        members = self._by_data_centre[peer.data_centre]
+        del members[peer.id]
+        if not members:
+            del self._by_data_centre[peer.data_centre]
 
     def _apply_row(self, row, address, now):
         if row.id == self.own.id:
@@ -349,7 +350,7 @@
                 or capacity != state.capacity
             )
         if has_changed:
-            self.detector.changes.add(state.peer.id)
+            self.detector.changes.add(state.id)
 
     def _learn_revision(self, heartbeat, now):
         revision = items.Revision(heartbeat.era, heartbeat.revision)
--- a/savorycross/fleet/peer_state.py
+++ b/savorycross/fleet/peer_state.py
@@ -14,6 +14,7 @@
 
     :param peer: Peer.
     :param registered_at: when the peer was registered.
+    :param id: ``Peer.id`` of the peer.
     :param heard_at: when any instance received a heartbeat from the peer,
         as far as known, or None.
     :param heard_directly_at: when this instance received one, or None.
@@ -32,6 +33,7 @@
 
     peer: object
     registered_at: float
+    id: int = dataclasses.field(init=False)
     heard_at: float | None = None
     heard_directly_at: float | None = None
     flags: int = 0
@@ -44,6 +46,10 @@
     suspected_at: float | None = None
     dead_at: float | None = None
 
+    def __post_init__(self):
+        """Keep the id, as the Peer hashes its name each time."""
+        self.id = self.peer.id
+
     @property
     def last_seen_at(self):
         """Return when the peer was heard or registered last."""
@@ -60,7 +66,7 @@
             else heartbeats.STORE_LOST
         )
         return heartbeats.StatusRow(
-            self.peer.id,
+            self.id,
             int((now - self.heard_at + margin_s) * 1000),
             self.flags,
             self.load,
--- a/savorycross/fleet/status_rows.py
+++ b/savorycross/fleet/status_rows.py
@@ -85,7 +85,7 @@
         chosen = self._peers.detector.suspicions.take(MAX_SUSPICIONS)
         states = (self._peers.find_state(id_) for id_ in chosen)
         return tuple(
-            heartbeats.Suspicion(s.peer.id, int((now - s.suspected_at) * 1000))
+            heartbeats.Suspicion(s.id, int((now - s.suspected_at) * 1000))
             for s in states
             if s is not None and s.suspected_at is not None
         )
@@ -102,7 +102,7 @@
 
     def _take_turn(self, now):
         if not self._turn:
-            self._turn = [s.peer.id for s in self._peers.live_states(now)]
+            self._turn = [s.id for s in self._peers.live_states(now)]
             self._rng.shuffle(self._turn)
         chosen, self._turn = self._turn[:REFRESHED], self._turn[REFRESHED:]
         return chosen
