--- /dev/null
+++ b/savorycross/rollout/order.py
@@ -0,0 +1,115 @@
+"""Orders of roll-outs, what the store says of them, and their schedule.
+
+Load pattern: a service gets the same requests throughout, while its targets
+of a new version replace those of the old one. The schedule spends little of
+the exposure early, to find versions that are bad from the start or later,
+saves the rest for a burst near the full load, and moves as late as it can,
+so that most faults show while few requests get the new version.
+
+Source of the method: staged canary releases (Davidovic and Beyer, "Canary
+Analysis Service", ACM Queue 16(1), 2018).
+"""
+
+import dataclasses
+import enum
+
+# Part of the allowed share that the new version gets before the burst.
+EARLY_PART = 0.35
+# Part of the time after which the new version gets what was saved.
+BURST_PART = 0.55
+# Part of the requests that the new version gets at most while old targets
+# are still needed for the comparison.
+MAJORITY = 0.8
+# Part of the time, with a lower bound in seconds, for the move at the end.
+MOVE_PART = 0.25
+MIN_MOVE_S = 6.0
+# Part of the move during which the old targets are still compared.
+COMPARED_PART = 0.5
+# The status is written this long before the deadline at the latest.
+WRITE_MARGIN_S = 0.5
+
+
+class State(enum.Enum):
+    """The state of a roll-out, as its status says it."""
+
+    ROLLING = 'rolling'
+    COMPLETE = 'complete'
+    REVERTED = 'reverted'
+
+    @property
+    def is_final(self):
+        """Whether no other state follows for the same order."""
+        return self is not State.ROLLING
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """Asks to move a service to a version.
+
+    Orders with the same content are the same order.
+
+    :param over_s: seconds within which the move ends.
+    """
+
+    service: str
+    to_version: str
+    over_s: float
+
+    @property
+    def burst_at_s(self):
+        """Seconds after the order at which the burst begins."""
+        return BURST_PART * self.over_s
+
+    @property
+    def move_at_s(self):
+        """Seconds after the order from which most requests may move."""
+        move_s = max(MIN_MOVE_S, MOVE_PART * self.over_s)
+        return self.over_s - min(move_s, 0.5 * self.over_s)
+
+    @property
+    def drain_at_s(self):
+        """Seconds after the order at which old targets get nothing more."""
+        move_s = self.over_s - self.move_at_s
+        return self.move_at_s + COMPARED_PART * move_s
+
+    @property
+    def decide_at_s(self):
+        """Seconds after the order at which the status is written."""
+        return max(self.drain_at_s, self.over_s - WRITE_MARGIN_S)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Tells operators how far a roll-out is.
+
+    :param state: State.
+    """
+
+    to_version: str
+    state: State
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRecord:
+    """Holds what instances need to continue a roll-out of others.
+
+    It is written together with the status.
+
+    :param order: RolloutOrder that it belongs to.
+    :param state: State.
+    :param is_moving: whether most requests go to the new version.
+    :param started_at: wall clock time in seconds at which the first writer
+        learned of the order.
+    :param rejected: versions of earlier orders that did not complete.
+    """
+
+    order: RolloutOrder
+    state: State
+    is_moving: bool
+    started_at: float
+    rejected: tuple[str, ...] = ()
+
+    @property
+    def rank(self):
+        """How far the roll-out is; it never decreases for an order."""
+        return 2 * self.state.is_final + self.is_moving
