Run roll-outs: orders, reports, status and the choice of targets

Targets have a version, and an order in the store starts a roll-out: each instance reports its answers to the three ranked first for the service, these evaluate and write the status and a record of their own by compare-and-swap, and warn the others of a bad version. Without a recent confirmation an instance sends nothing to the new version. The datagrams use the socket of the rates. Without an order a pick costs one look-up in an empty dictionary.

--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -98,6 +98,15 @@
     async def end_lease(self, lease: Lease) -> None:
         """End a lease, which removes its keys."""
 
+    async def compare_and_put(
+        self, values: dict[str, bytes], revisions: dict[str, Revision]
+    ) -> bool:
+        """Write keys unless one has changed; return whether they were.
+
+        :param revisions: expected Revision by key; NO_REVISION for a key
+            that must not exist.
+        """
+
     async def put(self, key: str, value: bytes, lease: Lease) -> None:
         """Write a key that lives as long as a lease.
 
--- a/savorycross/discovery/target.py
+++ b/savorycross/discovery/target.py
@@ -13,6 +13,7 @@
     :param is_draining: whether it gets no new requests.
     :param born: start of the incarnation, in any unit; 0 if unknown.
     :param warmup_s: seconds for which it stays slow from now on.
+    :param version: version of its software; empty if unknown.
     """
 
     id: str
@@ -23,3 +24,4 @@
     is_draining: bool = False
     born: int = 0
     warmup_s: float = 0.0
+    version: str = ''
--- a/savorycross/forward/engine.py
+++ b/savorycross/forward/engine.py
@@ -30,6 +30,9 @@
 class Engine:
     """Targets, budgets and latencies on which calls base their decisions.
 
+    ``rollouts`` holds the Rollout by the name of the service, for services
+    that have one.
+
     :param settings: InstanceSettings.
     :param dialect: Dialect.
     :param target_registry: TargetRegistry.
@@ -66,6 +69,7 @@
         self.metrics = metrics
         self.rates = rates
         self.buffers = buffers or buffer_counts.Buffers()
+        self.rollouts = {}
         rates.subscribe(self.wake_line)
         self._now = now
         self._settings = settings
@@ -337,6 +341,28 @@
             self.metrics.count('limited_sends', kind=kind.value)
         return is_paid
 
+    def count_exposure(self, state, is_first):
+        """Count a send of a call toward the roll-out of its service.
+
+        :param is_first: whether it is the first send for the call.
+        """
+        rollout = self.rollouts.get(state.target.service)
+        if rollout is not None:
+            rollout.record_send(state, is_first)
+
+    def record_answer(self, route, attempt, has_failed, now):
+        """Record how a send ended, for the roll-out of its service.
+
+        :param attempt: Attempt.
+        :param has_failed: whether the target has answered with a failure.
+        """
+        rollout = self.rollouts.get(attempt.state.target.service)
+        if rollout is not None:
+            seconds = now - attempt.started_at
+            rollout.record_answer(
+                route.name, attempt.state, seconds, has_failed, now
+            )
+
     def read_statement(self, state, verdict, reply, sent_at):
         """Take in what a target's reply says about the requests it takes.
 
@@ -450,13 +476,21 @@
                 not s.rate.is_limited and s.has_room and not s.is_ejected(now)
                 for s in states
             )
-        return self._picker.pick(
-            states,
-            tried,
-            now,
-            lambda s: self.may_send(s, now, keeps_reserve),
-            preferred,
-        )
+        rollout = self.rollouts.get(service)
+        groups = (states,)
+        if rollout is not None:
+            groups = rollout.list_groups(states, not tried, now)
+        for group in groups:
+            picked = self._picker.pick(
+                group,
+                tried,
+                now,
+                lambda s: self.may_send(s, now, keeps_reserve),
+                preferred,
+            )
+            if picked is not None:
+                return picked
+        return None
 
     def _is_cold_send_allowed(self, state, now):
         """Return whether the limit of sends to a cold target allows one."""
--- a/savorycross/forward/fetch.py
+++ b/savorycross/forward/fetch.py
@@ -173,6 +173,7 @@
         overdue_s = OVERDUE_MULTIPLE * self._route_latency.typical_s
         for attempt in self._abandon_in_flight():
             if now - attempt.started_at >= overdue_s:
+                self._engine.record_answer(self.route, attempt, False, now)
                 self._record_failure(attempt, now, 'silent')
 
     def _abandon_in_flight(self):
@@ -243,6 +244,7 @@
             )
             self._retry(attempt, now, 'misdirected', was_run=False)
             return
+        self._engine.record_answer(self.route, attempt, True, now)
         self._record_failure(attempt, now, verdict.value)
         is_open = self.state is State.RUNNING and not self._is_closed
         if verdict is calls.Verdict.FAILED and is_open:
@@ -280,6 +282,7 @@
         attempt.state.record_success(now)
         attempt.state.add_latency(seconds / route_latency.typical_s, now)
         route_latency.add(seconds, now)
+        self._engine.record_answer(self.route, attempt, False, now)
         if self.state is not State.RUNNING:
             # The other replies in the delegate's message were pruned on the
             # assumption that this one is merged, so it replaces the reply.
@@ -465,6 +468,7 @@
         state.add_outstanding(attempt, now, self._route_latency.typical_s)
         kind = _send_kind(is_extra, is_hedge)
         attempt.is_paid = engine.record_send(state, kind, now)
+        engine.count_exposure(state, is_first=self.sends == 0)
         self._attempts.append(attempt)
         self._in_flight.add(attempt)
         self.tried.add(state.target.id)
--- a/savorycross/forward/target_registry.py
+++ b/savorycross/forward/target_registry.py
@@ -65,7 +65,15 @@
             s for s in self._by_service.get(service, ()) if self._is_usable(s)
         ]
 
+    def list_service(self, service):
+        """Return the TargetStates of all of a service's targets."""
+        return list(self._by_service.get(service, ()))
+
     def _is_usable(self, state):
+        return not state.is_withheld and self.is_available(state)
+
+    def is_available(self, state):
+        """Return whether a target may get work, roll-outs aside."""
         target = state.target
         return (
             not target.is_draining
--- a/savorycross/forward/target_state.py
+++ b/savorycross/forward/target_state.py
@@ -42,7 +42,8 @@
     the typical latency of its route in seconds, in the order of the sends;
     ``max_in_flight`` is the largest number of them. ``rate`` is the
     RateLimiter of the sends. ``is_leaving`` tells that the target has said
-    in an answer that it is about to end.
+    in an answer that it is about to end, ``is_withheld`` that a roll-out
+    keeps requests from its version.
 
     :param target: Target.
     :param pool: Pool of its connections.
@@ -67,6 +68,7 @@
         self._outcome_at = now
         self._recent_sends = collections.deque()
         self.is_leaving = False
+        self.is_withheld = False
         self.paused_until = 0.0
         self.rate = rate or limiter.RateLimiter(target.id, now)
 
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -24,6 +24,7 @@
 from savorycross.forward import picker
 from savorycross.forward import target_registry as target_registries
 from savorycross.gateway import gateway as gateways
+from savorycross.gateway import instance_settings
 from savorycross.gateway import memory_guard
 from savorycross.gateway import stop_plan
 from savorycross.gateway import store_changes
@@ -34,6 +35,10 @@
 from savorycross.overload import caller_subset
 from savorycross.rate import target_rates
 from savorycross.rate import transport as rate_transports
+from savorycross.rollout import protocol as rollout_protocol
+from savorycross.rollout import rollouts
+from savorycross.rollout import store_view
+from savorycross.rollout import tasks as rollout_tasks
 from savorycross.wire import buffers
 from savorycross.wire import messages
 from savorycross.wire import pool
@@ -78,6 +83,7 @@
         self._make_forwarding()
         self._make_discovery()
         self._make_fleet()
+        self._make_rollouts()
         self._make_servers()
         self._is_stopping = False
         self._is_synced = False
@@ -233,6 +239,31 @@
             lambda: self._gateway.version,
         )
 
+    def _make_rollouts(self):
+        settings = self._settings
+        limits = settings.rollout_limits or instance_settings.RolloutLimits()
+        keys = self._adapter.rollout_keys
+        view = store_view.StoreView(
+            keys, self._mirror, lambda: self._follower.is_connected, self.log
+        )
+        self._rollouts = rollouts.Rollouts(
+            view,
+            self._engine,
+            settings.name,
+            settings.data_centre,
+            limits.share,
+            lambda: self._directory.rate_shares(trio.current_time()),
+            self._rate_transport.send_data,
+            time.time,
+        )
+        self._store_changes.on_rollout = self._rollouts.on_item
+        self._rate_transport.handlers[rollout_protocol.MARK] = (
+            self._rollouts.on_message
+        )
+        self._rollout_tasks = rollout_tasks.RolloutTasks(
+            self._rollouts, self._store
+        )
+
     def _make_servers(self):
         adapter = self._adapter
         settings = self._settings
@@ -300,6 +331,8 @@
             'store follower': self._follower.run,
             'announcement': self._announcer.run,
             'mirror synchronization': self._mirror_sync.run,
+            'roll-outs': self._rollout_tasks.run,
+            'statuses of roll-outs': self._rollout_tasks.run_writes,
             'maintenance': self._run_maintenance,
             'settings': self._poll_settings,
         }
--- a/savorycross/gateway/instance_settings.py
+++ b/savorycross/gateway/instance_settings.py
@@ -59,9 +59,9 @@
     :param revert_s: seconds from its 50th bad answer until it gets none.
     """
 
-    share: float
-    slack: float
-    revert_s: float
+    share: float = 0.1
+    slack: float = 50.0
+    revert_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorycross/gateway/store_changes.py
+++ b/savorycross/gateway/store_changes.py
@@ -17,6 +17,8 @@
     :param now: callable that returns the runtime clock time in seconds.
     :param on_peer: called with the key and the Item of an instance's
         announcement, or with None for the item once it is removed.
+
+    ``on_rollout`` is called in the same way with the items of roll-outs.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         self._metrics = metrics
         self._now = now
         self._on_peer = on_peer
+        self.on_rollout = lambda key, item: None
 
     def apply(self, key, item):
         """Apply a change of an item.
@@ -52,6 +55,8 @@
             self._apply_configuration(item)
         elif keys.is_instance(key):
             self._on_peer(key, item)
+        elif keys.is_rollout(key):
+            self.on_rollout(key, item)
         elif (data_centre := keys.evacuated_data_centre(key)) is not None:
             is_evacuated = item is not None
             self._target_registry.set_evacuated(
--- a/savorycross/platform/adapter.py
+++ b/savorycross/platform/adapter.py
@@ -5,6 +5,7 @@
 from savorycross.platform import dialect
 from savorycross.platform import endpoints
 from savorycross.platform import keys
+from savorycross.platform import rollout_keys
 from savorycross.platform import store
 
 __all__ = [
@@ -15,6 +16,7 @@
     'make_directory_handler',
     'make_ready_handler',
     'make_store',
+    'rollout_keys',
 ]
 
 SettingsError = errors.SettingsError
--- a/savorycross/platform/keys.py
+++ b/savorycross/platform/keys.py
@@ -7,6 +7,7 @@
 from savorycross import decoding
 from savorycross.discovery import target
 from savorycross import host_port
+from savorycross.platform import rollout_keys
 
 CONFIGURATION = 'op/config'
 _EVACUATION_PREFIX = 'op/evacuate/'
@@ -59,6 +60,11 @@
     return key.startswith(_INSTANCE_PREFIX)
 
 
+def is_rollout(key):
+    """Return whether a key holds anything about a roll-out."""
+    return rollout_keys.is_rollout(key)
+
+
 def decode_target(key, value):
     """Return the Target that an entry describes.
 
@@ -82,6 +88,7 @@
         is_draining=entry.state == 'draining',
         born=entry.born,
         warmup_s=entry.warmup_ms / 1000,
+        version=entry.version,
     )
 
 
@@ -90,6 +97,8 @@
 
     :returns: False too if the values do not tell.
     """
+    if rollout_keys.is_rollout(key):
+        return rollout_keys.is_older(key, value, other)
     try:
         if key == CONFIGURATION:
             first, second = _decode_both(_version_decoder, value, other)
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -146,6 +146,34 @@
         reply = await self._call(b'POST', '/v1/kv-txn', body=body)
         self._check_lease(reply, lease)
 
+    async def compare_and_put(self, values, revisions):
+        """Write several keys if none of them has changed.
+
+        :param values: bytes by key.
+        :param revisions: expected Revision by key; NO_REVISION for a key
+            that must not exist.
+        :returns: whether they were written.
+        :raises StoreUnavailableError: if the store does not tell.
+        """
+        body = {
+            'if_rev': [
+                {'key': key, 'rev': revision.number}
+                for key, revision in revisions.items()
+            ],
+            'puts': [
+                {'key': key, 'value': base64.b64encode(value).decode()}
+                for key, value in values.items()
+            ],
+            'remove': [],
+        }
+        reply = await self._call(b'POST', '/v1/kv-txn', body=body)
+        self._read_era(reply)
+        if reply.status == 412:
+            return False
+        if reply.status not in (200, 204):
+            raise errors.StoreUnavailableError(f'status {reply.status}')
+        return True
+
     def _check_lease(self, reply, lease):
         """Check a reply to a call that names a lease.
 
--- a/savorycross/rate/transport.py
+++ b/savorycross/rate/transport.py
@@ -17,6 +17,7 @@
     """Sends and receives RateMessages on one UDP socket.
 
     ``on_message``, called with each message received, is set before ``run``.
+    Datagrams that begin with a key of ``handlers`` go to the callable there.
 
     :param address: host and port to bind.
     :param find_address: callable that takes the name of an instance and
@@ -30,17 +31,25 @@
         self._metrics = metrics
         self._outgoing, self._queue = trio.open_memory_channel(MAX_QUEUED)
         self.on_message = lambda message: None
+        self.handlers = {}
 
     def send(self, name, message):
         """Queue a message; it is lost if the instance is not known.
 
+        :param name: name of the instance that gets it.
+        """
+        self.send_data(name, protocol.encode(message))
+
+    def send_data(self, name, data):
+        """Queue a datagram; it is lost if the instance is not known.
+
         :param name: name of the instance that gets it.
         """
         address = self._find_address(name)
         if address is None:
             return
         try:
-            self._outgoing.send_nowait((address, message))
+            self._outgoing.send_nowait((address, data))
         except trio.WouldBlock:
             self._metrics.count('rate_messages_dropped')
 
@@ -51,13 +60,13 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 while True:
-                    address, message = await self._queue.receive()
-                    await self._send_now(sock, address, message)
+                    address, data = await self._queue.receive()
+                    await self._send_now(sock, address, data)
 
-    async def _send_now(self, sock, address, message):
+    async def _send_now(self, sock, address, data):
         self._metrics.count('rate_messages', direction='sent')
         try:
-            await sock.sendto(protocol.encode(message), address)
+            await sock.sendto(data, address)
         except OSError:
             self._metrics.count('rate_send_errors')
 
@@ -68,6 +77,10 @@
             except OSError:
                 self._metrics.count('rate_receive_errors')
                 continue
+            handle = self.handlers.get(data[:1])
+            if handle is not None:
+                handle(data)
+                continue
             try:
                 message = protocol.decode(data)
             except ValueError:
--- a/savorycross/rollout/exposure.py
+++ b/savorycross/rollout/exposure.py
@@ -26,22 +26,30 @@
     MOVING = 'moving'
     NEW_ONLY = 'new only'
     OLD_ONLY = 'old only'
+    # The roll-out may have ended either way meanwhile.
+    UNKNOWN = 'unknown'
 
 
-def choose_phase(order, record, age_s, is_halted):
+def choose_phase(order, record, age_s, is_halted, is_confirmed=True):
     """Return the Phase of a roll-out on this instance.
 
     :param order: RolloutOrder.
-    :param record: RolloutRecord of the order, or None if none is known.
+    :param record: RolloutRecord of the service, or None if none is known.
     :param age_s: seconds since the order.
     :param is_halted: whether the new version is known to be bad.
+    :param is_confirmed: whether another instance has confirmed lately that
+        the new version is not known to be bad. One that is cut off does not
+        learn that it is, nor that the old targets have ended.
     """
-    if record is None:
+    if record is None or not record.is_for(order):
         return Phase.OLD_ONLY
     if record.state is orders.State.COMPLETE:
         return Phase.NEW_ONLY
     if record.state is orders.State.REVERTED or is_halted:
         return Phase.OLD_ONLY
+    if not is_confirmed:
+        may_be_over = record.is_moving and age_s >= order.drain_at_s
+        return Phase.UNKNOWN if may_be_over else Phase.OLD_ONLY
     if record.is_moving:
         is_draining = age_s >= order.drain_at_s
         return Phase.NEW_ONLY if is_draining else Phase.MOVING
@@ -55,13 +63,16 @@
     since the order, ``new_sends`` that of sends to the new version.
 
     :param share: part of the requests that the new version may get.
+    :param debt: sends to the new version after the order, before this
+        instance learned of it.
     """
 
-    def __init__(self, share):
+    def __init__(self, share, debt=0):
         self.phase = Phase.OLD_ONLY
         self.requests = 0
         self.new_sends = 0
         self._share = share
+        self._debt = debt
         self._phase_requests = 0
         self._phase_new = 0
 
@@ -82,16 +93,19 @@
         """
         if self.phase is Phase.NEW_ONLY:
             return True
-        if self.phase is Phase.OLD_ONLY or not is_first:
+        if self.phase in (Phase.OLD_ONLY, Phase.UNKNOWN) or not is_first:
             return False
         majority = orders.MAJORITY * (self._phase_requests + 1)
         if self._phase_new + 1 > majority:
             return False
         if self.phase is Phase.MOVING:
             return True
-        is_early = self.phase is Phase.EARLY
-        share = self._share * (orders.EARLY_PART if is_early else 1.0)
-        return self.new_sends + 1 <= share * (self.requests + 1)
+        allowed = self._share * (self.requests + 1)
+        if self.new_sends + self._debt + 1 > allowed:
+            return False
+        if self.phase is Phase.BURST:
+            return True
+        return self.new_sends + 1 <= orders.EARLY_PART * allowed
 
     def record_send(self, is_new, is_first):
         """Count a send.
--- a/savorycross/rollout/order.py
+++ b/savorycross/rollout/order.py
@@ -25,8 +25,9 @@
 MIN_MOVE_S = 6.0
 # Part of the move during which the old targets are still compared.
 COMPARED_PART = 0.5
-# The status is written this long before the deadline at the latest.
-WRITE_MARGIN_S = 0.5
+# The status is written this long before the deadline at the latest, as
+# instances learn of an order up to 2 s late.
+WRITE_MARGIN_S = 2.5
 
 
 class State(enum.Enum):
@@ -101,6 +102,9 @@
     :param started_at: wall clock time in seconds at which the first writer
         learned of the order.
     :param rejected: versions of earlier orders that did not complete.
+    :param run: number of the roll-out of the service.
+    :param is_withdrawn: whether the order was withdrawn, so that one with
+        the same content begins another roll-out.
     """
 
     order: RolloutOrder
@@ -108,8 +112,24 @@
     is_moving: bool
     started_at: float
     rejected: tuple[str, ...] = ()
+    run: int = 1
+    is_withdrawn: bool = False
 
     @property
     def rank(self):
-        """How far the roll-out is; it never decreases for an order."""
-        return 2 * self.state.is_final + self.is_moving
+        """Position in the order of all records of the service."""
+        return (
+            self.run,
+            self.is_withdrawn,
+            self.state.is_final,
+            self.is_moving,
+        )
+
+    @property
+    def status(self):
+        """The RolloutStatus that goes with it."""
+        return RolloutStatus(self.order.to_version, self.state)
+
+    def is_for(self, order):
+        """Return whether it belongs to a RolloutOrder."""
+        return self.order == order and not self.is_withdrawn
--- /dev/null
+++ b/savorycross/rollout/pool.py
@@ -0,0 +1,55 @@
+"""What the instances that decide on a roll-out know from the others.
+
+Load pattern: each instance sees a few of the answers, and each may have
+requests in progress at old targets. All of them report to the instances
+ranked first for the service, so that the reports of one instance do not grow
+with their number.
+"""
+
+from savorycross.rollout import evaluation
+
+# Instances that get the reports of all others.
+MAX_POOLS = 3
+# Reports are out of date after this time.
+REPORT_S = 1.5
+
+
+class Pool:
+    """Reports of all instances on one run of a roll-out.
+
+    :param over_s: seconds of the roll-out.
+    """
+
+    def __init__(self, over_s):
+        self.evaluation = evaluation.Evaluation(over_s)
+        self._reports = {}
+
+    def add(self, report, pairs, now):
+        """Add a report.
+
+        :param report: protocol.Report.
+        :param pairs: its Sums of old and new targets by stratum.
+        """
+        is_drained = report.is_draining and not report.in_flight
+        self._reports[report.sender] = (now, is_drained)
+        for stratum, (old, new) in pairs.items():
+            self.evaluation.add(stratum, old, new)
+
+    def is_drained(self, senders, now):
+        """Return whether nothing is in progress at old targets.
+
+        An instance that hears no longer of most others may be the one that
+        is cut off, so it cannot tell.
+
+        :param senders: names of the instances that take callers.
+        """
+        recent = {
+            name: is_drained
+            for name, (told_at, is_drained) in self._reports.items()
+            if now - told_at < REPORT_S
+        }
+        return (
+            senders <= recent.keys()
+            and 2 * len(recent) > len(self._reports)
+            and all(recent.values())
+        )
--- /dev/null
+++ b/savorycross/rollout/reporter.py
@@ -0,0 +1,129 @@
+"""Reports between instances, and what they tell about the new version.
+
+Load pattern: each of hundreds of instances has some of the answers, and a
+bad version must stop everywhere within seconds. Reports go to the few
+instances ranked first for the service, each of which can find the version
+bad and warn all that take callers. Their answers to reports confirm that it
+is not known to be bad.
+"""
+
+from savorycross.rollout import evaluation
+from savorycross.rollout import exposure
+from savorycross.rollout import pool as pools
+from savorycross.rollout import protocol
+
+# How often a warning is repeated, as messages get lost.
+WARNINGS = 4
+
+
+class Reporter:
+    """Makes and takes in the reports on roll-outs.
+
+    :param engine: Engine.
+    :param own: name of this instance.
+    :param is_connected: callable that returns whether the store answers.
+    :param send: callable that takes the name of an instance and a datagram.
+    """
+
+    def __init__(self, engine, own, is_connected, send):
+        self._engine = engine
+        self._own = own
+        self._is_connected = is_connected
+        self._send = send
+
+    def report(self, entry, shares, now):
+        """Report to the instances that decide, this one included.
+
+        :param entry: Entry.
+        :param shares: LimitShares of the instances that take callers.
+        """
+        rollout = entry.rollout
+        record = rollout.record
+        if record is None or not record.is_for(rollout.order):
+            return
+        pairs = rollout.answers.take(protocol.MAX_ROWS)
+        if record.state.is_final:
+            return
+        report = self._make_report(rollout, now, False, pairs)
+        is_idle = not pairs and not report.in_flight
+        if is_idle and not shares.is_sender:
+            return
+        ranked = shares.rank(rollout.service)[: pools.MAX_POOLS]
+        if self._own in ranked:
+            entry.find_pool().add(report, pairs, now)
+            if len(shares.senders) == 1 and self._is_connected():
+                rollout.confirm(now)
+        self._send_to(ranked, report)
+
+    def receive(self, entry, report, pairs, now):
+        """Take in a report of another instance.
+
+        :param report: Report.
+        :param pairs: its Sums of old and new targets by stratum.
+        """
+        rollout = entry.rollout
+        if not report.is_for(rollout.order, rollout.record):
+            return
+        if report.age_ms is not None:
+            rollout.set_age(report.age_ms / 1000, now)
+        if report.reason:
+            self._halt(rollout, report.reason)
+        rollout.confirm(now)
+        if report.is_answer:
+            return
+        entry.find_pool().add(report, pairs, now)
+        answer = self._make_report(rollout, now, True)
+        self._send_to((report.sender,), answer)
+
+    def evaluate(self, entry, shares, now):
+        """Evaluate the reports, and warn all senders of a bad version."""
+        rollout = entry.rollout
+        if entry.pool is None or now - entry.closed_at < evaluation.BLOCK_S:
+            return
+        entry.closed_at = now
+        reason = entry.pool.evaluation.close_block()
+        if reason and entry.run == rollout.record.run:
+            self._halt(rollout, reason)
+        if rollout.reason and entry.warnings < WARNINGS:
+            entry.warnings += 1
+            warning = self._make_report(rollout, now, True)
+            self._send_to(shares.senders, warning)
+
+    def _halt(self, rollout, reason):
+        if rollout.halt(reason):
+            self._engine.log.event(
+                'rollout.bad',
+                service=rollout.service,
+                version=rollout.order.to_version,
+                reason=reason,
+            )
+
+    def _make_report(self, rollout, now, is_answer, pairs=()):
+        order = rollout.order
+        age_ms = None
+        if rollout.is_witness:
+            age_ms = int(rollout.age_s(now) * 1000)
+        states = self._engine.target_registry.list_service(order.service)
+        return protocol.Report(
+            protocol.FORMAT,
+            self._own,
+            order.service,
+            order.to_version,
+            order.over_s,
+            rollout.record.run,
+            age_ms,
+            is_answer,
+            rollout.reason,
+            sum(len(s.outstanding) for s in states if not rollout.is_new(s)),
+            rollout.phase is exposure.Phase.NEW_ONLY,
+            tuple(protocol.make_row(*item) for item in dict(pairs).items()),
+        )
+
+    def _send_to(self, names, report):
+        data = protocol.encode(report)
+        for name in names:
+            if name != self._own:
+                self._engine.metrics.count(
+                    'rollout_messages', direction='sent'
+                )
+                self._send(name, data)
--- /dev/null
+++ b/savorycross/rollout/rollouts.py
@@ -0,0 +1,245 @@
+"""The roll-outs of all services, as this instance sees and decides them.
+
+Load pattern: orders are rare, and services without one pay nothing. During a
+roll-out each instance reports to a few others, four times a second while it
+has answers, and these decide; see ``status``. Messages and the time are
+passed in, reports and writes are returned or handed to callables.
+"""
+
+from savorycross.rollout import entry as entries
+from savorycross.rollout import protocol
+from savorycross.rollout import reporter as reporters
+from savorycross.rollout import rollout as rollouts
+from savorycross.rollout import status
+
+# Interval of ``tick``.
+TICK_S = 0.25
+# A write that failed is not tried again for this time.
+RETRY_S = 0.6
+# Time within which the mirror shows what was written.
+SPREAD_S = 2.5
+
+
+class Rollouts:
+    """Follows orders, reports to other instances, and decides what to write.
+
+    :param view: StoreView.
+    :param engine: Engine, whose ``rollouts`` it fills.
+    :param own: name of this instance.
+    :param data_centre: this instance's data centre.
+    :param share: part of the requests that a new version may get.
+    :param read_shares: callable that returns the LimitShares in force.
+    :param send: callable that takes the name of an instance and a datagram.
+    :param read_wall_clock: callable that returns seconds.
+    """
+
+    def __init__(
+        self,
+        view,
+        engine,
+        own,
+        data_centre,
+        share,
+        read_shares,
+        send,
+        read_wall_clock,
+    ):
+        self._view = view
+        self._engine = engine
+        self._data_centre = data_centre
+        self._share = share
+        self._read_shares = read_shares
+        self._read_wall_clock = read_wall_clock
+        self._reporter = reporters.Reporter(
+            engine, own, view.is_connected, send
+        )
+        self._entries = {}
+
+    def on_item(self, key, item):
+        """Apply a change of the store.
+
+        :param item: new Item, or None if the key was removed.
+        """
+        change = self._view.read(key, item)
+        if change is None:
+            return
+        now = self._engine.now()
+        wall_now = self._read_wall_clock()
+        entry = self._entries.get(change.service)
+        if entry is None:
+            rollout = rollouts.Rollout(
+                change.service, self._data_centre, self._share
+            )
+            entry = entries.Entry(rollout)
+            self._entries[change.service] = entry
+        rollout = entry.rollout
+        if change.is_order:
+            states = self._engine.target_registry.list_service(change.service)
+            rollout.set_order(change.value, now, change.is_live, states)
+            record = rollout.record
+            if record is not None and record.is_for(change.value):
+                rollout.set_age(max(0.0, wall_now - record.started_at), now)
+            self._log_order(rollout)
+        elif change.value is not None:
+            self._take_record(rollout, change.value)
+        self._refresh(entry, now)
+
+    def tick(self):
+        """Update phases, report to others and evaluate; see TICK_S."""
+        now = self._engine.now()
+        self._view.note_era()
+        shares = self._read_shares()
+        for entry in list(self._entries.values()):
+            self._refresh(entry, now)
+            if entry.rollout.order is not None:
+                self._reporter.report(entry, shares, now)
+                self._reporter.evaluate(entry, shares, now)
+                self._refresh(entry, now)
+        self._engine.metrics.set_gauge('rollouts', len(self._entries))
+
+    def on_message(self, data):
+        """Take in a datagram of another instance."""
+        metrics = self._engine.metrics
+        try:
+            report = protocol.decode(data)
+            pairs = {
+                r.stratum: (r.old.read(), r.new.read()) for r in report.rows
+            }
+        except ValueError:
+            metrics.count('rollout_messages_invalid')
+            return
+        metrics.count('rollout_messages', direction='received')
+        entry = self._entries.get(report.service)
+        if entry is not None:
+            now = self._engine.now()
+            self._reporter.receive(entry, report, pairs, now)
+            self._refresh(entry, now)
+
+    def list_writes(self):
+        """Return the store_view.Writes that this instance makes now."""
+        now = self._engine.now()
+        shares = self._read_shares()
+        writes = []
+        for entry in self._entries.values():
+            record = self._choose_record(entry, shares, now)
+            if record is None:
+                entry.due_since = None
+                continue
+            if entry.due_since is None:
+                entry.due_since = now
+            rank = _find_rank(shares, entry.rollout.service)
+            if rank is None or now < entry.not_before:
+                continue
+            if now - entry.due_since >= status.choose_wait_s(rank):
+                writes.append(self._view.make_write(record))
+        return writes
+
+    def record_write(self, write, outcome):
+        """Note the outcome of a write.
+
+        :param outcome: 'written', 'conflict' or 'unavailable'.
+        """
+        service = write.record.order.service
+        record = write.record
+        self._engine.metrics.count('rollout_writes', outcome=outcome)
+        self._engine.log.event(
+            f'rollout.{outcome}',
+            service=service,
+            version=record.order.to_version,
+            state=record.state.value,
+            is_moving=record.is_moving,
+        )
+        entry = self._entries.get(service)
+        if entry is None:
+            return
+        now = self._engine.now()
+        entry.not_before = now + RETRY_S
+        if outcome == 'written':
+            entry.written_at = now
+            self._take_record(entry.rollout, record)
+            self._refresh(entry, now)
+
+    def _choose_record(self, entry, shares, now):
+        """Return the RolloutRecord that has to be written, or None."""
+        rollout = entry.rollout
+        is_drained = False
+        if entry.pool is not None:
+            is_drained = entry.pool.is_drained(shares.senders, now)
+        record = status.decide(
+            status.View(
+                rollout.order,
+                rollout.record,
+                rollout.age_s(now),
+                self._read_wall_clock(),
+                bool(rollout.reason),
+                rollout.has_new,
+                is_drained,
+            )
+        )
+        if record is not None or rollout.record is None:
+            return record
+        written_at = entry.written_at
+        if written_at is not None and now - written_at < SPREAD_S:
+            return None
+        return rollout.record if self._view.lacks(rollout.record) else None
+
+    def _take_record(self, rollout, record):
+        now = self._engine.now()
+        if not rollout.set_record(record, now, self._read_wall_clock()):
+            return
+        self._engine.log.event(
+            'rollout.state',
+            service=rollout.service,
+            version=record.order.to_version,
+            state=record.state.value,
+            is_moving=record.is_moving,
+            is_withdrawn=record.is_withdrawn,
+        )
+
+    def _refresh(self, entry, now):
+        """Update the phase, and drop a roll-out that is over."""
+        rollout = entry.rollout
+        engine = self._engine
+        states = engine.target_registry.list_service(rollout.service)
+        if rollout.is_over:
+            for state in states:
+                state.is_withheld = False
+            del self._entries[rollout.service]
+            engine.rollouts.pop(rollout.service, None)
+            engine.wake_line(rollout.service)
+            return
+        engine.rollouts[rollout.service] = rollout
+        if not rollout.refresh(
+            now, states, engine.target_registry.is_available
+        ):
+            return
+        engine.log.event(
+            'rollout.phase',
+            service=rollout.service,
+            phase=rollout.phase.value,
+            requests=rollout.exposure.requests,
+            new_sends=rollout.exposure.new_sends,
+        )
+        engine.wake_line(rollout.service)
+
+    def _log_order(self, rollout):
+        order = rollout.order
+        if order is None:
+            self._engine.log.event(
+                'rollout.withdrawn', service=rollout.service
+            )
+            return
+        self._engine.log.event(
+            'rollout.ordered',
+            service=order.service,
+            version=order.to_version,
+            over_s=order.over_s,
+            is_witness=rollout.is_witness,
+        )
+
+
+def _find_rank(shares, service):
+    """Return this instance's place among those that write, or None."""
+    if not shares.is_sender:
+        return None
+    return shares.rank(service).index(shares.own)
--- a/savorycross/rollout/status.py
+++ b/savorycross/rollout/status.py
@@ -18,8 +18,6 @@
 
 # Wait of an instance for the one ranked before it.
 TAKEOVER_S = 0.8
-# Instances that may write, and that get the sums of all others.
-MAX_WRITERS = 3
 MAX_REJECTED = 8
 
 
@@ -54,7 +52,7 @@
     order, record = view.order, view.record
     if order is None:
         return _withdraw(record)
-    if record is None or record.order != order:
+    if record is None or not record.is_for(order):
         return _begin(view)
     if record.state.is_final:
         return None
@@ -80,9 +78,8 @@
     """Return the seconds for which an instance leaves a write to others.
 
     :param rank: its place among the possible writers, from 0.
-    :returns: None if it does not write.
     """
-    return None if rank >= MAX_WRITERS else rank * TAKEOVER_S
+    return rank * TAKEOVER_S
 
 
 def _begin(view):
@@ -93,8 +90,10 @@
     """
     record, order = view.record, view.order
     rejected = ()
+    run = 1
     if record is not None:
         rejected = record.rejected
+        run = record.run + 1
         if record.state is not orders.State.COMPLETE:
             rejected += (record.order.to_version,)
     rejected = tuple(v for v in rejected if v != order.to_version)
@@ -104,13 +103,17 @@
         False,
         view.wall_now - view.age_s,
         rejected[-MAX_REJECTED:],
+        run,
     )
 
 
 def _withdraw(record):
-    if record is None or record.state.is_final:
+    """Return the record of a withdrawn order."""
+    if record is None or record.is_withdrawn:
         return None
-    return _end(record, orders.State.REVERTED)
+    if not record.state.is_final:
+        record = _end(record, orders.State.REVERTED)
+    return dataclasses.replace(record, is_withdrawn=True)
 
 
 def _end(record, state):
