Test roll-outs with processes, and settle those that have ended

A fresh instance wrote nothing wrong in tests, but could have reverted a roll-out as it lists records before targets; it now writes only once the store is listed.

--- a/savorycross/rollout/entry.py
+++ b/savorycross/rollout/entry.py
@@ -15,6 +15,8 @@
     :param pool: Pool of the reports of others, or None.
     :param run: run of the roll-out that the pool is for.
     :param closed_at: when the latest block of answers was closed.
+    :param reported_at: when this instance reported last.
+    :param settled_at: when a roll-out that has ended was last looked at.
     :param warnings: how often others were told that the version is bad.
     :param due_since: since when a write has been due, or None.
     :param not_before: when the next write may be made.
@@ -25,11 +27,23 @@
     pool: pools.Pool | None = None
     run: int = 0
     closed_at: float = 0.0
+    reported_at: float = 0.0
+    settled_at: float = 0.0
     warnings: int = 0
     due_since: float | None = None
     not_before: float = 0.0
     written_at: float | None = None
 
+    @property
+    def is_settled(self):
+        """Whether the roll-out has ended, so that little can happen."""
+        record, order = self.rollout.record, self.rollout.order
+        return (
+            record is not None
+            and record.state.is_final
+            and (order is None or record.is_for(order))
+        )
+
     def find_pool(self):
         """Return the Pool of the run in the record; it is made if needed."""
         run = self.rollout.record.run
--- a/savorycross/rollout/reporter.py
+++ b/savorycross/rollout/reporter.py
@@ -12,6 +12,11 @@
 from savorycross.rollout import pool as pools
 from savorycross.rollout import protocol
 
+# Interval of the reports. Confirmations by the answers last four times as
+# long.
+REPORT_INTERVAL_S = 0.5
+# Reports go out by so much earlier, as ticks are not exactly in time.
+MAX_JITTER_S = 0.05
 # How often a warning is repeated, as messages get lost.
 WARNINGS = 4
 
@@ -41,9 +46,10 @@
         record = rollout.record
         if record is None or not record.is_for(rollout.order):
             return
-        pairs = rollout.answers.take(protocol.MAX_ROWS)
-        if record.state.is_final:
+        if now - entry.reported_at < REPORT_INTERVAL_S - MAX_JITTER_S:
             return
+        entry.reported_at = now
+        pairs = rollout.answers.take(protocol.MAX_ROWS)
         report = self._make_report(rollout, now, False, pairs)
         is_idle = not pairs and not report.in_flight
         if is_idle and not shares.is_sender:
--- a/savorycross/rollout/rollout.py
+++ b/savorycross/rollout/rollout.py
@@ -216,7 +216,8 @@
 
     def record_answer(self, route_name, state, seconds, has_failed, now):
         """Count an answer; see ``collector.Collector.add``."""
-        if self.order is not None:
+        record = self.record
+        if record is not None and not record.state.is_final:
             self.answers.add(
                 route_name, state, self.is_new(state), seconds, has_failed, now
             )
--- a/savorycross/rollout/rollouts.py
+++ b/savorycross/rollout/rollouts.py
@@ -16,6 +16,8 @@
 TICK_S = 0.25
 # A write that failed is not tried again for this time.
 RETRY_S = 0.6
+# Interval at which a roll-out that has ended is looked at.
+SETTLED_S = 1.0
 # Time within which the mirror shows what was written.
 SPREAD_S = 2.5
 
@@ -90,6 +92,9 @@
         self._view.note_era()
         shares = self._read_shares()
         for entry in list(self._entries.values()):
+            if entry.is_settled:
+                self._check_settled(entry, now)
+                continue
             self._refresh(entry, now)
             if entry.rollout.order is not None:
                 self._reporter.report(entry, shares, now)
@@ -113,17 +118,25 @@
         if entry is not None:
             now = self._engine.now()
             self._reporter.receive(entry, report, pairs, now)
-            self._refresh(entry, now)
+            if report.reason:
+                self._refresh(entry, now)
 
     def list_writes(self):
         """Return the store_view.Writes that this instance makes now."""
+        if not self._view.is_complete:
+            # Targets of the new version may not have been listed yet.
+            return []
         now = self._engine.now()
         shares = self._read_shares()
         writes = []
         for entry in self._entries.values():
+            if entry.is_settled and now < entry.not_before:
+                continue
             record = self._choose_record(entry, shares, now)
             if record is None:
                 entry.due_since = None
+                if entry.is_settled:
+                    entry.not_before = now + SETTLED_S
                 continue
             if entry.due_since is None:
                 entry.due_since = now
@@ -159,6 +172,12 @@
             self._take_record(entry.rollout, record)
             self._refresh(entry, now)
 
+    def _check_settled(self, entry, now):
+        """Apply an end to targets that have become known since."""
+        if now - entry.settled_at >= SETTLED_S:
+            entry.settled_at = now
+            self._refresh(entry, now)
+
     def _choose_record(self, entry, shares, now):
         """Return the RolloutRecord that has to be written, or None."""
         rollout = entry.rollout
--- a/savorycross/rollout/store_view.py
+++ b/savorycross/rollout/store_view.py
@@ -58,6 +58,11 @@
         self._restored_at = items.NO_REVISION
         self._order_eras = {}
 
+    @property
+    def is_complete(self):
+        """Whether the whole store has been listed."""
+        return self._mirror.is_complete
+
     def read(self, key, item):
         """Return the Change that an item makes, or None.
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -60,6 +60,7 @@
         self.service = service
         self.zone = zone
         self.slots = 4
+        self.version = 'v1'
         self.work_s = 0.01
         self.fail_share = 0.0
         self.lose_share = 0.0
@@ -100,7 +101,7 @@
             'service': self.service,
             'addr': f'{host}:{port}',
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'warmup_ms': 0,
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -36,6 +36,7 @@
     assert target.address == ('10.0.0.9', 8080)
     assert target.data_centre == 'bilbo'
     assert target.warmup_s == 1.5
+    assert target.version == 'v1'
     assert not target.is_draining
     assert _decode(state='draining').is_draining
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -123,3 +123,23 @@
     monkeypatch.setattr(kv_server, 'MAX_ITEMS_PER_PAGE', -1)
     with pytest.raises(errors.StoreUnavailableError):
         await client.read_page('')
+
+
+# Guards against a writer that overwrites what another has written meanwhile.
+async def test_keys_are_written_only_if_none_has_changed(world):
+    model, client = world
+    number = model.put('status/rollout/s', b'1')
+    revisions = {'status/rollout/s': item.Revision(1, number)}
+    values = {'status/rollout/s': b'2', 'savorycross/rollouts/s': b'3'}
+    expected = revisions | {'savorycross/rollouts/s': item.NO_REVISION}
+    assert await client.compare_and_put(values, expected)
+    assert model.items['status/rollout/s'].value == b'2'
+    assert not await client.compare_and_put(values, expected)
+    model.put('savorycross/rollouts/s', b'4')
+    assert not await client.compare_and_put(values, revisions)
+    assert model.items['savorycross/rollouts/s'].value == b'4'
+
+
+async def test_refused_write_is_unavailable(world):
+    with pytest.raises(errors.StoreUnavailableError):
+        await world[1].compare_and_put({'op/config': b'1'}, {})
