Let the move of a roll-out grow, and leave short ones more time before

Orders of 8 to 20 s moved at their half, before the burst, and at once to 80% of the requests. They now move at 65% or later, and the part grows from 35% to 80%.

--- a/savorycross/rollout/collector.py
+++ b/savorycross/rollout/collector.py
@@ -2,6 +2,9 @@
 
 Load pattern: near and far targets, and those of different routes, differ in
 latency as such, so their answers are counted apart.
+
+Source of the method: comparison within strata (Mantel and Haenszel, J. Natl.
+Cancer Institute 22(4), 1959).
 """
 
 from savorycross.rollout import sums
--- a/savorycross/rollout/exposure.py
+++ b/savorycross/rollout/exposure.py
@@ -60,7 +60,8 @@
     """Counts this instance's requests to a service and its new version.
 
     ``phase`` is the Phase in force, ``requests`` the number of requests
-    since the order, ``new_sends`` that of sends to the new version.
+    since the order, ``new_sends`` that of sends to the new version;
+    ``part`` is the part that it gets at most of the requests of a phase.
 
     :param share: part of the requests that the new version may get.
     :param debt: sends to the new version after the order, before this
@@ -69,6 +70,7 @@
 
     def __init__(self, share, debt=0):
         self.phase = Phase.OLD_ONLY
+        self.part = orders.MAJORITY
         self.requests = 0
         self.new_sends = 0
         self._share = share
@@ -95,8 +97,7 @@
             return True
         if self.phase in (Phase.OLD_ONLY, Phase.UNKNOWN) or not is_first:
             return False
-        majority = orders.MAJORITY * (self._phase_requests + 1)
-        if self._phase_new + 1 > majority:
+        if self._phase_new + 1 > self.part * (self._phase_requests + 1):
             return False
         if self.phase is Phase.MOVING:
             return True
--- a/savorycross/rollout/order.py
+++ b/savorycross/rollout/order.py
@@ -17,12 +17,15 @@
 EARLY_PART = 0.35
 # Part of the time after which the new version gets what was saved.
 BURST_PART = 0.55
-# Part of the requests that the new version gets at most while old targets
-# are still needed for the comparison.
+# Parts of the requests that the new version gets when the move begins, and at
+# most while old targets are still needed for the comparison. It grows in
+# between, as evidence takes time to arrive.
+FIRST_PART = 0.35
 MAJORITY = 0.8
 # Part of the time, with a lower bound in seconds, for the move at the end.
 MOVE_PART = 0.25
 MIN_MOVE_S = 6.0
+MAX_MOVE_PART = 0.35
 # Part of the move during which the old targets are still compared.
 COMPARED_PART = 0.5
 # The status is written this long before the deadline at the latest, as
@@ -65,7 +68,16 @@
     def move_at_s(self):
         """Seconds after the order from which most requests may move."""
         move_s = max(MIN_MOVE_S, MOVE_PART * self.over_s)
-        return self.over_s - min(move_s, 0.5 * self.over_s)
+        return self.over_s - min(move_s, MAX_MOVE_PART * self.over_s)
+
+    def moving_part(self, age_s):
+        """Return the part that the new version gets during the move.
+
+        :param age_s: seconds since the order.
+        """
+        done = (age_s - self.move_at_s) / (self.drain_at_s - self.move_at_s)
+        done = min(max(done, 0.0), 1.0)
+        return FIRST_PART + (MAJORITY - FIRST_PART) * done
 
     @property
     def drain_at_s(self):
--- a/savorycross/rollout/pool.py
+++ b/savorycross/rollout/pool.py
@@ -4,6 +4,9 @@
 requests in progress at old targets. All of them report to the instances
 ranked first for the service, so that the reports of one instance do not grow
 with their number.
+
+Source of the method: rendezvous hashing (Thaler and Ravishankar, 1998); see
+``overload.shares``.
 """
 
 from savorycross.rollout import evaluation
--- a/savorycross/rollout/rollout.py
+++ b/savorycross/rollout/rollout.py
@@ -135,6 +135,9 @@
         self._refreshed_at = now
         before = self.phase
         self.exposure.set_phase(self._choose_phase(now))
+        self.exposure.part = orders.MAJORITY
+        if self.phase is exposures.Phase.MOVING:
+            self.exposure.part = self.order.moving_part(self.age_s(now))
         for state in states:
             state.is_withheld = self.is_withheld(state.target.version)
         return self.phase is not before
--- a/savorycross/rollout/sums.py
+++ b/savorycross/rollout/sums.py
@@ -3,6 +3,9 @@
 Load pattern: the answers of one version reach hundreds of instances, a few
 each. Latencies are counted in buckets with the same bounds on all instances,
 so that sums of counts describe the answers of all.
+
+Source of the method: buckets with a constant ratio of their bounds, which can
+be merged (Masson, Rim and Lee, "DDSketch", PVLDB 12(12), 2019).
 """
 
 import collections
--- a/tests/rollout/simulated_fleet.py
+++ b/tests/rollout/simulated_fleet.py
@@ -160,6 +160,9 @@
         instance.exposure.set_phase(
             exposure.choose_phase(self.order, instance.record, now, is_halted)
         )
+        instance.exposure.part = orders.MAJORITY
+        if instance.exposure.phase is exposure.Phase.MOVING:
+            instance.exposure.part = self.order.moving_part(now)
         mean = self._rate_per_s * STEP_S / len(self.instances)
         while mean > 0 and self.rng.random() < mean:
             mean -= 1.0
