Give a part of the slack of a roll-out at its beginning

Short roll-outs with few requests ended before there was evidence: the new version got 1 of 28 requests until the burst. Two fifths of the slack are now divided among the instances, and the bound on false alarms is 2% instead of 0.5%, as the test is conservative.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -251,7 +251,7 @@
             self._engine,
             settings.name,
             settings.data_centre,
-            limits.share,
+            limits,
             lambda: self._directory.rate_shares(trio.current_time()),
             self._rate_transport.send_data,
             time.time,
--- a/savorycross/rollout/entry.py
+++ b/savorycross/rollout/entry.py
@@ -13,6 +13,7 @@
     Times are those of the runtime clock, in seconds.
 
     :param pool: Pool of the reports of others, or None.
+    :param credited_run: run for which credit was given; see ``exposure``.
     :param run: run of the roll-out that the pool is for.
     :param closed_at: when the latest block of answers was closed.
     :param reported_at: when this instance reported last.
@@ -25,6 +26,7 @@
 
     rollout: rollouts.Rollout
     pool: pools.Pool | None = None
+    credited_run: int = 0
     run: int = 0
     closed_at: float = 0.0
     reported_at: float = 0.0
--- a/savorycross/rollout/evaluation.py
+++ b/savorycross/rollout/evaluation.py
@@ -13,8 +13,9 @@
 from savorycross.rollout import sequential_test
 from savorycross.rollout import sums as sums_module
 
-# Probability that a good version is found bad in a roll-out.
-FALSE_ALARMS = 0.005
+# Upper bound of the probability that a version within the margins is found bad
+# in a roll-out; the method is conservative for equal versions.
+FALSE_ALARMS = 0.02
 # Seconds that one block of answers covers at least.
 BLOCK_S = 0.5
 # Rates of failures may differ by this, and the assumed ones by these on top.
--- a/savorycross/rollout/exposure.py
+++ b/savorycross/rollout/exposure.py
@@ -5,8 +5,9 @@
 agreement. Each one counts its own requests and gives the new version no more
 than the allowed share of these, so that the sum is within the share of all
 requests whatever the instances know of each other. An instance that starts
-again has both counts at zero. No part of the slack is given out: it covers
-the sends after the move until a fault is found.
+again has both counts at zero. A part of the slack is divided by
+``overload.shares``, as evidence comes too late for short roll-outs with few
+requests otherwise; the rest covers the sends until a fault is found.
 
 Source of the method: division of a limit into local limits whose sum implies
 it (Barbara-Milla and Garcia-Molina, "The Demarcation Protocol", VLDB Journal
@@ -61,7 +62,8 @@
 
     ``phase`` is the Phase in force, ``requests`` the number of requests
     since the order, ``new_sends`` that of sends to the new version;
-    ``part`` is the part that it gets at most of the requests of a phase.
+    ``part`` is the part that it gets at most of the requests of a phase,
+    ``credit`` the number of sends that it may get on top of its share.
 
     :param share: part of the requests that the new version may get.
     :param debt: sends to the new version after the order, before this
@@ -71,6 +73,7 @@
     def __init__(self, share, debt=0):
         self.phase = Phase.OLD_ONLY
         self.part = orders.MAJORITY
+        self.credit = 0
         self.requests = 0
         self.new_sends = 0
         self._share = share
@@ -102,11 +105,12 @@
         if self.phase is Phase.MOVING:
             return True
         allowed = self._share * (self.requests + 1)
-        if self.new_sends + self._debt + 1 > allowed:
+        credit = self.credit
+        if self.new_sends + self._debt + 1 > allowed + credit:
             return False
         if self.phase is Phase.BURST:
             return True
-        return self.new_sends + 1 <= orders.EARLY_PART * allowed
+        return self.new_sends + 1 <= orders.EARLY_PART * allowed + credit
 
     def record_send(self, is_new, is_first):
         """Count a send.
--- a/savorycross/rollout/order.py
+++ b/savorycross/rollout/order.py
@@ -15,6 +15,8 @@
 
 # Part of the allowed share that the new version gets before the burst.
 EARLY_PART = 0.35
+# Part of the slack that instances share out at the beginning.
+CREDIT_PART = 0.4
 # Part of the time after which the new version gets what was saved.
 BURST_PART = 0.55
 # Parts of the requests that the new version gets when the move begins, and at
--- a/savorycross/rollout/rollouts.py
+++ b/savorycross/rollout/rollouts.py
@@ -7,6 +7,7 @@
 """
 
 from savorycross.rollout import entry as entries
+from savorycross.rollout import order as orders
 from savorycross.rollout import protocol
 from savorycross.rollout import reporter as reporters
 from savorycross.rollout import rollout as rollouts
@@ -29,7 +30,7 @@
     :param engine: Engine, whose ``rollouts`` it fills.
     :param own: name of this instance.
     :param data_centre: this instance's data centre.
-    :param share: part of the requests that a new version may get.
+    :param limits: RolloutLimits.
     :param read_shares: callable that returns the LimitShares in force.
     :param send: callable that takes the name of an instance and a datagram.
     :param read_wall_clock: callable that returns seconds.
@@ -41,7 +42,7 @@
         engine,
         own,
         data_centre,
-        share,
+        limits,
         read_shares,
         send,
         read_wall_clock,
@@ -49,7 +50,7 @@
         self._view = view
         self._engine = engine
         self._data_centre = data_centre
-        self._share = share
+        self._limits = limits
         self._read_shares = read_shares
         self._read_wall_clock = read_wall_clock
         self._reporter = reporters.Reporter(
@@ -70,7 +71,7 @@
         entry = self._entries.get(change.service)
         if entry is None:
             rollout = rollouts.Rollout(
-                change.service, self._data_centre, self._share
+                change.service, self._data_centre, self._limits.share
             )
             entry = entries.Entry(rollout)
             self._entries[change.service] = entry
@@ -97,6 +98,7 @@
                 continue
             self._refresh(entry, now)
             if entry.rollout.order is not None:
+                self._give_credit(entry, shares)
                 self._reporter.report(entry, shares, now)
                 self._reporter.evaluate(entry, shares, now)
                 self._refresh(entry, now)
@@ -172,6 +174,18 @@
             self._take_record(entry.rollout, record)
             self._refresh(entry, now)
 
+    def _give_credit(self, entry, shares):
+        """Give the new version this instance's part of the slack, once."""
+        rollout = entry.rollout
+        record = rollout.record
+        if record is None or entry.credited_run == record.run:
+            return
+        if not record.is_for(rollout.order):
+            return
+        entry.credited_run = record.run
+        slack = orders.CREDIT_PART * self._limits.slack
+        rollout.exposure.credit = shares.units(slack, rollout.service)
+
     def _check_settled(self, entry, now):
         """Apply an end to targets that have become known since."""
         if now - entry.settled_at >= SETTLED_S:
--- a/tests/rollout/simulated_fleet.py
+++ b/tests/rollout/simulated_fleet.py
@@ -8,6 +8,7 @@
 import heapq
 import random
 
+from savorycross.overload import shares
 from savorycross.rollout import evaluation
 from savorycross.rollout import exposure
 from savorycross.rollout import order as orders
@@ -19,6 +20,7 @@
 # Time until a message of the writer stops other instances.
 HALT_S = 0.1
 SHARE = 0.1
+CREDIT = 20
 OLD_S = 0.02
 
 
@@ -118,6 +120,10 @@
         self.instances = [
             Instance(self.rng.uniform(0.2, 2.0)) for _ in range(count)
         ]
+        names = frozenset(map(str, range(count)))
+        for number, instance in enumerate(self.instances):
+            divided = shares.LimitShares(str(number), names)
+            instance.exposure.credit = divided.units(CREDIT, 's')
         self.cut_off = cut_off
         self.record = None
         self.evaluation = evaluation.Evaluation(over_s)
