--- a/savorycross/rate/transport.py
+++ b/savorycross/rate/transport.py
@@ -44,11 +44,18 @@
         :param name: name of the instance that gets it.
         :param message: msgspec Struct of a type that others listen to.
         """
+        self.send_data(name, msgspec.msgpack.encode(message))
+
+    def send_data(self, name, data):
+        """Queue a datagram; it is lost if the instance is not known.
+
+        :param name: name of the instance that gets it.
+        """
         address = self._find_address(name)
         if address is None:
             return
         try:
-            self._outgoing.send_nowait((address, message))
+            self._outgoing.send_nowait((address, data))
         except trio.WouldBlock:
             self._metrics.count('rate_messages_dropped')
 
@@ -59,13 +66,13 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 while True:
-                    address, message = await self._queue.receive()
-                    await self._send_now(sock, address, message)
+                    address, data = await self._queue.receive()
+                    await self._send_now(sock, address, data)
 
-    async def _send_now(self, sock, address, message):
+    async def _send_now(self, sock, address, data):
         self._metrics.count('rate_messages', direction='sent')
         try:
-            await sock.sendto(msgspec.msgpack.encode(message), address)
+            await sock.sendto(data, address)
         except OSError:
             self._metrics.count('rate_send_errors')
 
