Ask the holders of a quota in rotation, with a bound on vain requests

A borrower asked the holder first that had lent last, until it had nothing left, so that requests below the quota met empty buckets while others were full: with all callers at one of 12 instances, up to 43 of 5,459 requests at 0.9 of a quota of 300 a second were refused. Each holder is now asked once in a round. Holders that did not reply lately are asked last.

--- a/savorycross/quota/quotas.py
+++ b/savorycross/quota/quotas.py
@@ -22,6 +22,12 @@
 from savorycross.quota import division
 from savorycross.quota import protocol
 from savorycross.quota import workspace_quota
+from savorycross.rate import bucket
+
+# Requests for tokens in vain that an instance sends for all workspaces, which
+# bounds the control traffic while many of them exceed their quotas.
+ASKS_PER_S = 40.0
+ASKS_BURST = 80.0
 
 
 class Outcome(enum.Enum):
@@ -87,6 +93,9 @@
         if is_successor:
             self._views.retain(self._make_view(()), now)
         self._on_tokens = lambda name: None
+        self._asks = bucket.TokenBucket(now)
+        self._asks.set_rate(ASKS_PER_S, ASKS_BURST, now)
+        self._asks.add(ASKS_BURST, now)
 
     def subscribe(self, on_tokens):
         """Set the callable that hears that requests may find a token now.
@@ -211,23 +220,34 @@
         if asking.record_reply(message.sender, tokens, now):
             self._metrics.count('quota_tokens_borrowed', tokens)
             quota.allocation.borrow(tokens, now)
+            if tokens:
+                self._asks.add(1, now)
             self._on_tokens(quota.name)
 
     def _find(self, workspace):
         return self._by_name.get(workspace.name) if workspace else None
 
     def _may_borrow(self, quota, now):
-        return not quota.allocation.borrowing.is_paused(now) and bool(
-            quota.list_lenders(self._views.shares.shares)
-        )
+        asking = quota.allocation.borrowing
+        if asking.is_paused(now):
+            return False
+        if not asking.is_waiting(now) and not self._asks.count(now):
+            return False
+        return bool(quota.list_lenders(self._views.shares.shares))
 
     def _borrow(self, quota, wanted, now):
+        if not self._asks.count(now):
+            return
+        wanted = min(wanted, protocol.MAX_TOKENS)
         lender = quota.allocation.borrowing.choose(
-            quota.list_lenders(self._views.shares.shares), self._rng, now
+            quota.list_lenders(self._views.shares.shares),
+            self._rng,
+            now,
+            wanted,
         )
         if lender is not None:
-            tokens = min(wanted, protocol.MAX_TOKENS)
-            self._send_tokens(lender, quota.name, tokens, is_request=True)
+            self._asks.take(now)
+            self._send_tokens(lender, quota.name, wanted, is_request=True)
 
     def _send_tokens(self, name, workspace, tokens, is_request=False):
         message = protocol.QuotaMessage(
--- a/savorycross/quota/workspace_quota.py
+++ b/savorycross/quota/workspace_quota.py
@@ -11,6 +11,8 @@
 REPLY_S = 0.04
 # Borrowed tokens are for requests that wait, which take them at once.
 BORROWED_S = 0.05
+# Longest time for which nobody is asked while nobody has had tokens.
+MAX_PAUSE_S = 0.8
 # Callers are told to return no later than this, as the quota may be raised.
 MAX_RETURN_S = 5.0
 
@@ -32,7 +34,7 @@
             name,
             now,
             lambda view: division.divide(self.grant, view, name),
-            borrowing.Borrowing(REPLY_S),
+            borrowing.Borrowing(REPLY_S, _choose_pause_s(grant), rotates=True),
             BORROWED_S,
         )
         self._returned_until = now
@@ -48,6 +50,7 @@
         bucket = self.allocation.filled(views, now)
         before = bucket.burst
         self.grant = grant
+        self.allocation.borrowing.max_pause_s = _choose_pause_s(grant)
         self.allocation.reset_views()
         bucket = self.allocation.filled(views, now)
         bucket.add(bucket.burst - before, now)
@@ -117,3 +120,8 @@
         return_at = max(self._returned_until, now) + interval_s
         self._returned_until = min(return_at, now + MAX_RETURN_S)
         return self._returned_until
+
+
+def _choose_pause_s(grant):
+    """Return the longest pause in which no bucket of a holder overflows."""
+    return min(MAX_PAUSE_S, grant.burst / grant.rate_per_s)
