--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -407,10 +407,12 @@
         self._engine.set_shares(self._directory.shares(now))
         rate_shares = self._directory.rate_shares(now)
         self._rates.set_shares(rate_shares, now)
-        serving = {p.name for p in self._peer_registry.serving_peers(now)}
-        self._quotas.set_view(
-            self._quota_holders.choose(rate_shares, serving, now), now
+        view = self._quota_holders.choose(
+            rate_shares,
+            lambda: [p.name for p in self._peer_registry.serving_peers(now)],
+            now,
         )
+        self._quotas.set_view(view, now)
 
     def _count_instances(self):
         return self._peer_registry.count(trio.current_time())
--- a/savorycross/quota/gate.py
+++ b/savorycross/quota/gate.py
@@ -5,8 +5,8 @@
 is short against its objective, and is refused as soon as nobody has any.
 """
 
+from savorycross.quota import admission as admissions
 from savorycross.quota import held
-from savorycross.quota import quotas as workspace_quotas
 
 # Part of the latency objective for which a request waits for a token.
 WAIT_PART = 0.2
@@ -46,9 +46,9 @@
         now = self._now()
         line = self._lines.get(workspace.name, [])
         admission = self._quotas.admit(workspace, until, now, ahead=len(line))
-        if admission.outcome is workspace_quotas.Outcome.ADMITTED:
+        if admission.outcome is admissions.Outcome.ADMITTED:
             return start()
-        if admission.outcome is workspace_quotas.Outcome.REFUSED:
+        if admission.outcome is admissions.Outcome.REFUSED:
             refuse(admission.at)
             return None
         request = held.HeldRequest(
@@ -92,9 +92,9 @@
                 ahead=len(left),
                 behind=len(line) - number - 1,
             )
-            if admission.outcome is workspace_quotas.Outcome.WAIT:
+            if admission.outcome is admissions.Outcome.WAIT:
                 left.append(request)
-            elif admission.outcome is workspace_quotas.Outcome.ADMITTED:
+            elif admission.outcome is admissions.Outcome.ADMITTED:
                 request.start()
             else:
                 request.refuse(admission.at)
--- a/savorycross/quota/holders.py
+++ b/savorycross/quota/holders.py
@@ -49,17 +49,20 @@
         """Record that the store has renewed the entry of this instance."""
         self._renewed_at = now
 
-    def choose(self, shares, serving, now):
+    def choose(self, shares, list_serving, now):
         """Return the HolderView to put in force.
 
         :param shares: LimitShares among the instances that are heard.
-        :param serving: names of all other instances that are heard and ready,
-            those that take no callers included.
+        :param list_serving: callable that returns the names of all other
+            instances that are heard and ready, those that take no callers
+            included.
         """
         seen = shares.senders
-        silent = (self._names & set(self._announced.values())) - seen
-        silent -= {*serving, self._own_name}
-        self._names = seen | silent
+        unseen = self._names - seen - {self._own_name}
+        if unseen:
+            unseen &= set(self._announced.values())
+            unseen -= set(list_serving())
+        self._names = seen | unseen
         is_in_doubt = now - self._renewed_at > self._valid_s and 2 * len(
             seen
         ) <= len(self._names)
--- a/savorycross/quota/quotas.py
+++ b/savorycross/quota/quotas.py
@@ -14,43 +14,12 @@
 could exceed the rate.
 """
 
-import dataclasses
-import enum
-
 from savorycross.overload import share_views
 from savorycross.overload import shares as limit_shares
+from savorycross.quota import admission
 from savorycross.quota import division
-from savorycross.quota import protocol
+from savorycross.quota import lending
 from savorycross.quota import workspace_quota
-from savorycross.rate import bucket
-
-# Requests for tokens in vain that an instance sends for all workspaces, which
-# bounds the control traffic while many of them exceed their quotas.
-ASKS_PER_S = 40.0
-ASKS_BURST = 80.0
-
-
-class Outcome(enum.Enum):
-    """What becomes of a request: it may run, waits for a token, or not."""
-
-    ADMITTED = 'admitted'
-    WAIT = 'wait'
-    REFUSED = 'refused'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """The answer to a request of a workspace.
-
-    :param at: runtime clock time until which it waits, or at which a refused
-        caller is to return.
-    """
-
-    outcome: Outcome
-    at: float = 0.0
-
-
-ADMITTED = Admission(Outcome.ADMITTED)
 
 
 class Quotas:
@@ -82,10 +51,9 @@
         self._own_name = own_name
         self._is_successor = is_successor
         self._limits = limits or division.DEFAULT_LIMITS
-        self._send = send
-        self._rng = rng
         self._log = log
         self._metrics = metrics
+        self._lending = lending.Lending(own_name, send, rng, metrics, now)
         self._by_name = {}
         self._views = share_views.ShareViews(
             self._make_view({own_name}), share_views.VIEW_SPREAD_S
@@ -93,9 +61,6 @@
         if is_successor:
             self._views.retain(self._make_view(()), now)
         self._on_tokens = lambda name: None
-        self._asks = bucket.TokenBucket(now)
-        self._asks.set_rate(ASKS_PER_S, ASKS_BURST, now)
-        self._asks.add(ASKS_BURST, now)
 
     def subscribe(self, on_tokens):
         """Set the callable that hears that requests may find a token now.
@@ -165,16 +130,17 @@
         """
         quota = self._find(workspace)
         if quota is None:
-            return ADMITTED
+            return admission.ADMITTED
         views = self._views.binding(now)
         if not ahead and quota.take(views, now):
-            return ADMITTED
+            return admission.ADMITTED
         if now < until:
-            self._borrow(quota, ahead + 1 + behind, now)
+            shares = self._views.shares.shares
+            self._lending.ask(quota, shares, ahead + 1 + behind, now)
             if quota.expect_token(
                 ahead, views, now
-            ) <= until or self._may_borrow(quota, now):
-                return Admission(Outcome.WAIT, until)
+            ) <= until or self._lending.may_borrow(quota, shares, now):
+                return admission.Admission(admission.Outcome.WAIT, until)
         return self._refuse(quota, now)
 
     def _refuse(self, quota, now):
@@ -187,7 +153,9 @@
                 holders=len(self._views.shares.shares.senders),
             )
         senders = len(self._views.shares.shares.senders)
-        return Admission(Outcome.REFUSED, quota.choose_return_at(senders, now))
+        return admission.Admission(
+            admission.Outcome.REFUSED, quota.choose_return_at(senders, now)
+        )
 
     def give_back(self, workspace, now):
         """Return the token of a request that certainly did not run.
@@ -204,54 +172,12 @@
         """Handle a QuotaMessage of another instance."""
         quota = self._by_name.get(message.workspace)
         if message.is_request:
-            lent = 0
-            if quota is not None:
-                lent = quota.allocation.lend(
-                    message.tokens, self._views.binding(now), now
-                )
-            self._send_tokens(message.sender, message.workspace, lent)
-        elif quota is not None:
-            self._on_reply(quota, message, now)
-
-    def _on_reply(self, quota, message, now):
-        asking = quota.allocation.borrowing
-        # Tokens of a late reply are not used, as the lender has refilled.
-        tokens = message.tokens if asking.is_waiting(now) else 0
-        if asking.record_reply(message.sender, tokens, now):
-            self._metrics.count('quota_tokens_borrowed', tokens)
-            quota.allocation.borrow(tokens, now)
-            if tokens:
-                self._asks.add(1, now)
+            views = self._views.binding(now)
+            self._lending.answer(quota, message, views, now)
+        elif quota is not None and self._lending.take_reply(
+            quota, message, now
+        ):
             self._on_tokens(quota.name)
 
     def _find(self, workspace):
         return self._by_name.get(workspace.name) if workspace else None
-
-    def _may_borrow(self, quota, now):
-        asking = quota.allocation.borrowing
-        if asking.is_paused(now):
-            return False
-        if not asking.is_waiting(now) and not self._asks.count(now):
-            return False
-        return bool(quota.list_lenders(self._views.shares.shares))
-
-    def _borrow(self, quota, wanted, now):
-        if not self._asks.count(now):
-            return
-        wanted = min(wanted, protocol.MAX_TOKENS)
-        lender = quota.allocation.borrowing.choose(
-            quota.list_lenders(self._views.shares.shares),
-            self._rng,
-            now,
-            wanted,
-        )
-        if lender is not None:
-            self._asks.take(now)
-            self._send_tokens(lender, quota.name, wanted, is_request=True)
-
-    def _send_tokens(self, name, workspace, tokens, is_request=False):
-        message = protocol.QuotaMessage(
-            protocol.FORMAT, self._own_name, is_request, workspace, tokens
-        )
-        self._metrics.count('quota_messages')
-        self._send(name, message)
--- a/tests/quota/test_holders.py
+++ b/tests/quota/test_holders.py
@@ -22,7 +22,7 @@
     """Return the HolderView while these instances are heard."""
     own = made._own_name
     heard = shares.LimitShares(own, frozenset(names) | {own})
-    return made.choose(heard, serving, now)
+    return made.choose(heard, lambda: serving, now)
 
 
 def test_silent_instance_keeps_its_part_until_its_entry_is_removed():
