--- a/soak/process.py
+++ b/soak/process.py
@@ -39,6 +39,8 @@
 retry_ratio = 0.2
 retry_window_s = 10
 retry_slack = 200
+strict_revoke = true
+revoke_ms = 5000
 [limits]
 memory_mb = {memory_mb}
 [platform]
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -69,6 +69,7 @@
         self._version = 0
         self._shard_set_index = 0
         self._extra_routes = 0
+        self._keys = {}
         self._unplanned_faults = []
 
     async def run(self, seconds, only=None):
@@ -175,6 +176,14 @@
         self._extra_routes += count
         self._configure()
 
+    def declare_workspaces(self, keys):
+        """Write a new configuration version with workspaces.
+
+        :param keys: list of keys by name of the workspace.
+        """
+        self._keys = keys
+        self._configure()
+
     async def restore_store(self, older, delay_s):
         """Restore the store, and let others write again what it lost.
 
@@ -248,6 +257,10 @@
             'version': self._version,
             'routes': routes,
             'services': services,
+            'tenants': [
+                {'name': name, 'api_keys': keys}
+                for name, keys in self._keys.items()
+            ],
         }
         self.model.put('op/config', json.dumps(document).encode())
 
