Judge keys in a class of their own

The decision is now KeyCheck, which the gateway asks after the route; its tests pass unchanged but for the constructor.

--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -2,13 +2,11 @@
 
 import math
 
-import trio
-
 from savorycross.forward import scatter_gather
 from savorycross.forward import single_call
 from savorycross.route import route as routes
 from savorycross.route import weighted_round_robin
-from savorycross.workspace import freshness as freshnesses
+from savorycross.workspace import key_check as key_checks
 
 # Time that is reserved before a request's timeout to send a failure reply, if
 # the event loop doesn't run later than that, and the most of the timeout.
@@ -33,28 +31,17 @@
     :param engine: Engine.
     :param read_lag_s: callable that returns the seconds by which the event
         loop runs late.
-    :param freshness: Freshness of the keys in force.
-    :param read_clock: callable that returns the time for ``freshness``.
-    :param on_unconfirmed: called when a request with a key was refused as
-        the keys in force are not confirmed.
+    :param key_check: KeyCheck; by default there is no bound on withdrawn
+        keys.
     """
 
-    def __init__(
-        self,
-        engine,
-        read_lag_s=lambda: 0.0,
-        freshness=None,
-        read_clock=trio.current_time,
-        on_unconfirmed=lambda: None,
-    ):
+    def __init__(self, engine, read_lag_s=lambda: 0.0, key_check=None):
         self.configuration = None
         self.end_at = math.inf
         self._return_at = 0.0
         self._engine = engine
         self._read_lag_s = read_lag_s
-        self._freshness = freshness or freshnesses.Freshness()
-        self._read_clock = read_clock
-        self._on_unconfirmed = on_unconfirmed
+        self._key_check = key_check or key_checks.KeyCheck()
         self._balancers = {}
         self.has_workspaces = False
 
@@ -119,52 +106,29 @@
     def _admit(self, call, request, route, respond):
         """Return a Call with the workspace of its key.
 
-        Keys are judged only if they are confirmed: an unknown one may have
-        been added since.
-
         :returns: None if the request was refused.
         """
-        dialect = self._engine.dialect
-        key = dialect.read_key(request)
-        if key is None:
-            self._refuse_key(call, respond, 'missing')
-            return None
-        if not self._are_keys_confirmed():
-            self._refuse_unconfirmed(call, route, respond)
-            return None
-        workspace = self.configuration.workspaces.find(key)
+        engine = self._engine
+        outcome, workspace = self._key_check.judge(
+            engine.dialect.read_key(request), self.configuration.workspaces
+        )
+        engine.metrics.count('keys', outcome=outcome.value)
         if workspace is None:
-            self._refuse_key(call, respond, 'unknown')
+            self._refuse_key(call, route, respond, outcome)
             return None
-        self._engine.metrics.count('keys', outcome='accepted')
-        return dialect.assign(call, workspace)
+        return engine.dialect.assign(call, workspace)
 
-    def _are_keys_confirmed(self):
-        """Return whether keys may be judged by the configuration."""
-        if self._freshness.bound_s is None:
-            return True
-        # The time of the request's arrival is of no use: bytes that were
-        # sent later may wait in the socket of a process that was stopped.
-        now = self._read_clock()
-        self._freshness.want(now)
-        return self._freshness.is_fresh(now)
-
-    def _refuse_unconfirmed(self, call, route, respond):
-        """Refuse a call whose key may have been withdrawn."""
+    def _refuse_key(self, call, route, respond, outcome):
+        """Refuse a call because of its key, which no record may name."""
+        reason = f'key {outcome.value}'
+        if outcome is not key_checks.Outcome.UNCONFIRMED:
+            self._refuse(call, respond, 401, reason)
+            return
         engine = self._engine
-        engine.metrics.count('keys', outcome='unconfirmed')
-        self._record_refusal(call, 503, 'keys not confirmed')
-        return_s = self._freshness.choose_return_s(self._read_clock())
+        self._record_refusal(call, 503, reason)
+        return_at = engine.now() + self._key_check.choose_return_s()
         end_at = call.received_at + _find_timeout_s(call, route)
-        respond(
-            engine.make_refusal(call, route, engine.now() + return_s, end_at)
-        )
-        self._on_unconfirmed()
-
-    def _refuse_key(self, call, respond, outcome):
-        """Refuse a call because of its key, which no record may name."""
-        self._engine.metrics.count('keys', outcome=outcome)
-        self._refuse(call, respond, 401, f'key {outcome}')
+        respond(engine.make_refusal(call, route, return_at, end_at))
 
     def _run(self, call, route, respond):
         engine = self._engine
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -42,6 +42,7 @@
 from savorycross.wire import server
 from savorycross.wire import timers as timers_module
 from savorycross.workspace import freshness
+from savorycross.workspace import key_check
 
 MAINTENANCE_INTERVAL_S = 0.5
 # How often the settings are read again, as they may change without a signal.
@@ -142,9 +143,11 @@
         self._gateway = gateways.Gateway(
             self._engine,
             lambda: self._loop_load.lag_s,
-            self._freshness,
-            _read_boot_clock,
-            lambda: self._confirmer.ask(),
+            key_check.KeyCheck(
+                self._freshness,
+                _read_boot_clock,
+                lambda: self._confirmer.ask(),
+            ),
         )
 
     def _make_rates(self):
--- a/tests/gateway/test_workspaces.py
+++ b/tests/gateway/test_workspaces.py
@@ -10,6 +10,7 @@
 from savorycross.wire import server
 from savorycross.workspace import directory
 from savorycross.workspace import freshness
+from savorycross.workspace import key_check
 from savorycross.workspace import workspace
 from tests.delegate import fakes
 from tests.forward import fake_engine
@@ -196,9 +197,9 @@
     adopted = world.gateway.configuration
     world.gateway = gateway.Gateway(
         world.engine,
-        freshness=world.freshness,
-        read_clock=clock,
-        on_unconfirmed=lambda: world.asked.append(True),
+        key_check=key_check.KeyCheck(
+            world.freshness, clock, lambda: world.asked.append(True)
+        ),
     )
     world.gateway.adopt(adopted)
     world.freshness.confirm(clock.time)
