Test listings, reads of a key and shared keys

Three paths had no test of their own: the time that a listing tells, the reads that confirmations use, and the log line of a key that two workspaces have.

--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -373,3 +373,41 @@
     is_on_duty = True
     await trio.sleep(CHANGE_DEADLINE_S / 2)
     assert copy.items['a'].value == b'another'
+
+
+# Guards against a listing of many pages, or with an outage in between, that
+# counts as newer than its first page.
+async def test_listing_tells_when_its_first_page_was_asked_for(
+    nursery, autojump_clock
+):
+    store = fakes.FakeStore()
+    store.page_size = 1
+    for key in ('a', 'b'):
+        store.put_value(key, b'1')
+    copy = mirror.Mirror(lambda key, item: _fail_after(store, key))
+    listed = []
+    tested = follower.Follower(
+        store,
+        copy,
+        null_log.NullLog(),
+        TIMING,
+        on_listed=lambda sent_at: listed.append(
+            (sent_at, trio.current_time(), sorted(copy.items))
+        ),
+    )
+    store.is_down = True
+    nursery.start_soon(tested.run)
+    await trio.sleep(2.0)
+    store.is_down = False
+    await trio.sleep(2.0)
+    assert not listed
+    store.is_down = False
+    await trio.sleep(3.0)
+    ((sent_at, listed_at, keys),) = listed
+    assert 2.0 <= sent_at <= 3.1 and listed_at >= 4.0
+    assert keys == ['a', 'b']
+
+
+def _fail_after(store, key):
+    """Let the store fail after the first page."""
+    store.is_down = key == 'a'
--- a/tests/gateway/test_store_changes.py
+++ b/tests/gateway/test_store_changes.py
@@ -91,3 +91,13 @@
     world.apply('op/config', DEEP, 2)
     assert world.gateway.version == 1
     assert world.log.fields('configuration.invalid')
+
+
+# Guards against an operator who moves a key and doesn't see that it stayed.
+def test_key_that_two_workspaces_have_is_logged_without_the_key(world):
+    tenants = [{'name': n, 'api_keys': ['sesame-7']} for n in ('a', 'b')]
+    document = {'version': 2, 'routes': [], 'tenants': tenants}
+    world.apply(keys.CONFIGURATION, json.dumps(document).encode(), 2)
+    (fields,) = world.log.fields('workspace.key_taken')
+    assert fields == {'workspace': 'b', 'holder': 'a'}
+    assert 'sesame' not in str(world.log.events)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -123,3 +123,18 @@
     monkeypatch.setattr(kv_server, 'MAX_ITEMS_PER_PAGE', -1)
     with pytest.raises(errors.StoreUnavailableError):
         await client.read_page('')
+
+
+# Guards against confirmations that wait for a change, or bring other keys.
+async def test_changes_of_a_key_come_at_once_and_alone(world):
+    model, client = world
+    model.put('op/config', b'1')
+    model.put('servers/a', b'2')
+    with trio.fail_after(1.0):
+        page = await client.read_changes('op/config', item.Revision(1, 1))
+        quiet = await client.read_changes('op/config', page.revision)
+    assert [(i.key, i.value) for i in page.items] == [('op/config', b'1')]
+    assert page.revision == quiet.revision == item.Revision(1, 3)
+    assert not quiet.items
+    page = await client.read_key('op/config')
+    assert [i.value for i in page.items] == [b'1']
