--- a/savorycross/locality/spill.py
+++ b/savorycross/locality/spill.py
@@ -14,8 +14,8 @@
 import dataclasses
 
 STEP_INTERVAL_S = 0.25
-# Utilisation of the own data centre's targets from which on sends leave. Two
-# slots are both busy half of the time at 0.7, so that queues begin to form.
+# Sends in flight for each own slot from which on sends leave. Two slots are
+# both busy a third of the time then, so that queues begin to form.
 SPILL_UTILISATION = 0.7
 # Below it they come back. The gap keeps a fraction from going up and down.
 RETURN_UTILISATION = 0.5
