--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -166,6 +166,10 @@
         """Return the PeerStates of all known peers."""
         return list(self._by_name.values())
 
+    def count_suspected(self):
+        """Return the number of peers that are suspected or dead."""
+        return sum(s.suspected_at is not None for s in self._by_name.values())
+
     def live_states(self, now):
         """Return the PeerStates of live peers."""
         return [
@@ -303,6 +307,7 @@
             for state in self.live_states(now):
                 state.heard_at = now
         self.detector.is_large = is_large
+        self._log.event('heartbeats.mode_changed', is_large=is_large)
 
     def _remove(self, state):
         peer = state.peer
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -399,6 +399,8 @@
         gauge('store_era', self._mirror.revision.era)
         gauge('store_connections', self._store.connection_count)
         gauge('instances', self._count_instances())
+        gauge('fleet_large', int(self._peer_registry.is_large))
+        gauge('instances_suspected', self._peer_registry.count_suspected())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
         gauge('loop_load', round(self._loop_load.value, 3))
