Keep a farewell when older rows arrive late

A row whose heartbeat waited to be read seems newer than it is, and could make a stopping instance seem ready again.

--- a/savorycross/fleet/peer_state.py
+++ b/savorycross/fleet/peer_state.py
@@ -80,7 +80,9 @@
         :param heard_at: when the peer was heard according to the row.
         """
         self.heard_at = heard_at
-        self.flags = row.flags
+        # No instance that stops serves again. A row that came late could
+        # otherwise undo its farewell.
+        self.flags = row.flags | self.flags & heartbeats.LEAVING
         self.load = row.load
         self.capacity = row.capacity
         if row.store_state != heartbeats.STORE_UNKNOWN:
--- a/tests/fleet/test_peer_registry.py
+++ b/tests/fleet/test_peer_registry.py
@@ -190,6 +190,24 @@
     assert not pending()
 
 
+# Guards against a row from before a stop that is handled after it.
+def test_late_row_does_not_undo_a_farewell():
+    registry = peer_registry.PeerRegistry(_peer('a0'), null_log.NullLog())
+    stopping, other = _peer('a1'), _peer('a2')
+    for peer in (stopping, other):
+        registry.register(peer, 100.0)
+    message = heartbeat.Heartbeat(
+        heartbeat.FORMAT, stopping.id, heartbeat.LEAVING, 5, True
+    )
+    registry.on_heartbeat(message, stopping.address, 100.0)
+    row = heartbeat.StatusRow(stopping.id, 0, heartbeat.READY)
+    message = heartbeat.Heartbeat(
+        heartbeat.FORMAT, other.id, heartbeat.READY, 5, True, (row,)
+    )
+    registry.on_heartbeat(message, other.address, 100.2)
+    assert stopping not in registry.serving_peers(100.2)
+
+
 def _hear(registry, name, revision, era=None):
     """Register a peer, and let the registry receive its heartbeat."""
     peer = _peer(name)
