--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -556,6 +556,8 @@
             age_s = self._freshness.age_s(_read_boot_clock())
             gauge('keys_confirmed_age_seconds', round(age_s, 3))
         gauge('instances', self._count_instances())
+        gauge('fleet_large', int(self._peer_registry.is_large))
+        gauge('instances_suspected', self._peer_registry.count_suspected())
         gauge('store_watching', int(self._watch_duty.is_on(now)))
         gauge('instances_listed', len(self._directory.addresses(now)))
         gauge('machine_speed', round(self._read_speed(), 3))
