Confirm keys as soon as a configuration has workspaces

An instance that adopted its first configuration with workspaces refused keys until its next check, up to 0.2 s later. A synced mirror now asks for a confirmation at once. The fuzz test of headers also reads them as with workspaces.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -379,6 +379,8 @@
         self._update_caller_limits()
         self._is_synced = True
         self._update_readiness()
+        # The configuration may be the first one with workspaces.
+        self._confirmer.ask()
 
     def _update_readiness(self):
         """Become ready once callers can connect and be served."""
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -185,6 +185,11 @@
         request = messages.Request(b'GET', b'/p/x', extra, b'')
         call = platform_dialect.read_call(request)
         assert call is None or call.id
+        platform_dialect.read_key(request)
+        call = platform_dialect.read_call(request, True)
+        assert call is None or not {b'api-key', b'tenant'} & {
+            name.lower() for name, _ in call.headers
+        }
 
 
 async def test_malformed_datagrams_do_not_stop_heartbeats(nursery):
--- a/tests/processes/test_workspaces.py
+++ b/tests/processes/test_workspaces.py
@@ -1,5 +1,7 @@
 """Keys of callers, with instances as real processes."""
 
+import signal
+
 import pytest
 import trio
 
@@ -88,3 +90,27 @@
     for i in range(2):
         assert await world.call(b'key-old', i) == 401
         assert await world.call(b'key-new', i) == 200
+
+
+# Guards against a process that was stopped and judges what callers sent
+# meanwhile by keys from before.
+async def test_frozen_instance_runs_nothing_by_a_withdrawn_key(world):
+    assert await world.call(b'key-old') == 200
+    frozen = world.bed.instances[0]
+    frozen.send(signal.SIGSTOP)
+    world.bed.declare_workspaces({'w': ['key-new']})
+    await trio.sleep(REVOCATION_S + 0.5)
+    statuses = []
+
+    async def call(key):
+        statuses.append((key, await world.call(key)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, b'key-old')
+        nursery.start_soon(call, b'key-new')
+        await trio.sleep(0.3)
+        frozen.send(signal.SIGCONT)
+    assert dict(statuses)[b'key-old'] in (401, 503)
+    await trio.sleep(1.0)
+    assert await world.call(b'key-old') == 401
+    assert await world.call(b'key-new') == 200
