--- a/savorycross/fleet/directory.py
+++ b/savorycross/fleet/directory.py
@@ -97,10 +97,20 @@
         senders = self._subset.senders(self._own.name, now)
         if 2 * len(holders) < len(senders):
             holders |= senders
-        if now - self._started_at < PEER_DISCOVERY_S or not holders:
+        is_discovering = now - self._started_at < PEER_DISCOVERY_S
+        if is_discovering:
+            is_discovering = not self._has_heard_all(now)
+        if is_discovering or not holders:
             holders |= self._list_possible(holders | self._list_known(now))
         return shares.LimitShares(self._own.name, holders)
 
+    def _has_heard_all(self, now):
+        """Return whether all instances that are known are heard and ready."""
+        known = self._list_known(now)
+        return len(known) > len(self._seed_names) and len(known) == (
+            len(self._peers.serving_states(now)) + self.is_ready
+        )
+
     def _list_known(self, now):
         """Return the names of all instances that may send."""
         known = {p.name for p in self._peers.recent_peers(now)}
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -487,21 +487,31 @@
     def _on_peer_item(self, key, item):
         if item is None:
             self._quota_holders.record_removal(key)
-        if key == self._own_key:
-            if item is None and not self._is_stopping:
-                self._announcer.rewrite_key()
-            return
         if item is None:
+            if key == self._own_key and not self._is_stopping:
+                self._announcer.rewrite_key()
             return
         try:
             peer = heartbeat.decode_peer(item.value)
         except ValueError as exc:
             self.log.event('instance.invalid', key=key, reason=str(exc))
             return
+        if key == self._own_key:
+            self._on_own_entry(peer)
+            return
         self._quota_holders.record_entry(key, peer.name)
         self._peer_registry.register(peer, trio.current_time())
         self._update_shares()
 
+    def _on_own_entry(self, peer):
+        """Learn of the process that has run in place of this one.
+
+        :param peer: Peer in the store's entry of this instance.
+        """
+        if peer.id != self._own_peer.id:
+            age_s = time.time() - peer.started_at / 1000
+            self._quotas.record_predecessor(age_s, trio.current_time())
+
     def _update_shares(self):
         now = trio.current_time()
         self._engine.set_shares(self._directory.shares(now))
--- a/savorycross/quota/division.py
+++ b/savorycross/quota/division.py
@@ -40,10 +40,12 @@
 
     :param rate_per_s: requests a second.
     :param burst: requests that may be admitted at once after a pause.
+    :param spare: requests that the bound leaves on top in any window.
     """
 
     rate_per_s: float
     burst: float
+    spare: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +81,9 @@
     burst = max(given, MIN_BURST_S * rate_per_s, 1.0)
     longest_s = window_s + ON_THE_WAY_S
     granted = min(rate_per_s * factor, (bound - burst) / longest_s)
-    return Grant(max(granted, MIN_RATE_PART * rate_per_s), burst)
+    rate_per_s = max(granted, MIN_RATE_PART * rate_per_s)
+    spare = bound - burst - rate_per_s * longest_s
+    return Grant(rate_per_s, burst, max(spare, 0.0))
 
 
 def count_holders(grant, shares):
--- a/savorycross/quota/quotas.py
+++ b/savorycross/quota/quotas.py
@@ -55,11 +55,10 @@
         self._metrics = metrics
         self._lending = lending.Lending(own_name, send, rng, metrics, now)
         self._by_name = {}
+        self._has_spare = not is_successor
         self._views = share_views.ShareViews(
             self._make_view({own_name}), share_views.VIEW_SPREAD_S
         )
-        if is_successor:
-            self._views.retain(self._make_view(()), now)
         self._on_tokens = lambda name: None
 
     def subscribe(self, on_tokens):
@@ -79,6 +78,26 @@
         if view != self._views.shares:
             self._views.replace(view, now)
 
+    def record_predecessor(self, age_s, now):
+        """Record when the process began that ran in place of this one.
+
+        That one may have spent all tokens of this instance just before its
+        end, so that this one begins without any. After the loss of all
+        instances, all workspaces would be refused until tokens have come in.
+        So this instance gets its part of what the bound leaves on top, unless
+        its predecessor got that in the same window.
+
+        :param age_s: seconds since the start of the predecessor.
+        """
+        if self._has_spare or age_s <= self._limits.window_s:
+            return
+        self._has_spare = True
+        views = self._views.binding(now)
+        shares = self._views.shares.shares
+        for quota in self._by_name.values():
+            units = shares.units(int(quota.grant.spare), quota.name)
+            quota.allocation.filled(views, now).add(units, now)
+
     def maintain(self, now):
         """Log the workspaces that are limited no longer."""
         for quota in self._by_name.values():
