Answer requests that wait for tokens although one of them fails

An error at the start of a request that had waited ended the loop over its line, and the others got no reply. It is reported and the loop goes on. Found by reading; no test fails before.

--- a/savorycross/quota/gate.py
+++ b/savorycross/quota/gate.py
@@ -5,6 +5,7 @@
 is short against its objective, and is refused as soon as nobody has any.
 """
 
+from savorycross.events import failure
 from savorycross.quota import admission as admissions
 from savorycross.quota import held
 
@@ -95,7 +96,9 @@
             if admission.outcome is admissions.Outcome.WAIT:
                 left.append(request)
             elif admission.outcome is admissions.Outcome.ADMITTED:
-                request.start()
+                # An error must not leave those behind it without a reply.
+                with failure.contained('start of a request'):
+                    request.start()
             else:
                 request.refuse(admission.at)
         return left
