--- a/savorycross/fleet/status_rows.py
+++ b/savorycross/fleet/status_rows.py
@@ -13,7 +13,8 @@
 # Data centres for which the instance heard last is included.
 MAX_DATA_CENTRES = 4
 # A heartbeat that tells a new instance of all others must fit in a datagram.
-MAX_ROWS = 1000
+# Rows take up to 21 bytes, and datagrams up to 16,384 are read.
+MAX_ROWS = 700
 # Time that a heartbeat may take until it is read. Without it, an instance
 # that has ended seems to be heard later with each heartbeat that names it,
 # which contradicts suspicions.
