--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -114,3 +114,15 @@
 def test_new_instance_does_not_hold_a_whole_rate():
     tested, _ = _make(1, seed_count=3)
     assert tested.rate_shares(0.0).fraction == 1 / 4
+
+
+# Guards against quotas and rates that are divided among all instances for two
+# seconds after a restart, most of which take no callers.
+def test_restarted_instance_divides_rates_once_it_has_heard_all_others():
+    tested, registry = _make(30)
+    assert len(tested.rate_shares(0.2).senders) == 30
+    _hear_all(registry, 0.5, silent=registry.recent_peers(0.5)[:1])
+    assert len(tested.rate_shares(0.5).senders) == 30
+    _hear_all(registry, 0.8)
+    holders = tested.rate_shares(0.8).senders
+    assert len(holders) == len(ROWS) * caller_subset.MIN_SELECTED
--- a/tests/quota/test_failures.py
+++ b/tests/quota/test_failures.py
@@ -5,6 +5,7 @@
 import pytest
 
 from savorycross.gateway import instance_settings
+from savorycross.workspace import workspace
 from tests.quota import fleet
 
 # Without tolerance, so that a small excess is seen.
@@ -93,3 +94,48 @@
         )
         assert instances.most_in_window() <= instances.bound
         assert len(instances.admitted) >= 0.9 * 5.0 * rate_per_s
+
+
+def _replace_all(instances, predecessor_age_s):
+    for name in instances.names:
+        instances.start(name, is_successor=True)
+        instances.quotas[name].record_predecessor(
+            predecessor_age_s, instances.now
+        )
+
+
+# Guards against workspaces that are all refused for seconds after the loss of
+# all instances, as no token is left anywhere.
+@pytest.mark.parametrize('count', [9, 30])
+def test_callers_are_served_at_once_after_all_instances_were_replaced(count):
+    calm = workspace.Workspace('w', 0, 5.0, 5.0)
+    instances = fleet.Fleet(count, calm)
+    instances.run(20.0, 50.0, lambda: instances.rng.choice(instances.names))
+    admitted = len(instances.admitted)
+    _replace_all(instances, predecessor_age_s=20.0)
+    instances.run(2.0, 3.0, lambda: instances.rng.choice(instances.names[:9]))
+    assert len(instances.admitted) - admitted >= 5
+    instances.run(5.0, 50.0, lambda: instances.rng.choice(instances.names))
+    assert instances.most_in_window() <= instances.bound
+
+
+# Guards against instances that end again and again, and begin with tokens
+# each time.
+def test_instances_that_are_replaced_often_begin_without_tokens():
+    instances = fleet.Fleet(9)
+    _run(instances, 10.0)
+    for _ in range(8):
+        _replace_all(instances, predecessor_age_s=1.0)
+        _run(instances, 1.0)
+    assert instances.most_in_window() <= instances.bound
+
+
+def test_quota_without_tolerance_leaves_nothing_for_a_replacement():
+    instances = fleet.Fleet(9, limits=EXACT)
+    _run(instances, 10.0)
+    _replace_all(instances, predecessor_age_s=10.0)
+    before = len(instances.admitted)
+    _run(instances, 0.3)
+    assert len(instances.admitted) - before <= 0.3 * LOAD_PER_S / 2
+    _run(instances, 5.0)
+    assert instances.most_in_window() <= instances.bound
