Bound the wait for first requests where a stop ends early

A stop that ends before the end of the grace period, as no caller is busy any more, would have waited until then for a connection that never sends a request. It waits for the time of the last replies instead, as before. Found by reading the change again.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -666,7 +666,7 @@
             plan = self._plan_stop(started_at, has_others)
         expired = self._busy_connection_count
         self._gateway.plan_end(now, now if has_others else plan.end_at)
-        await self._finish_requests(plan.close_at)
+        await self._finish_requests(now + plan.drain_s)
         self.log.event(
             'instance.stopped',
             expired=expired,
--- a/savorycross/gateway/stop_plan.py
+++ b/savorycross/gateway/stop_plan.py
@@ -32,6 +32,11 @@
     end_at: float
     close_at: float
 
+    @property
+    def drain_s(self):
+        """Seconds for the last replies, also if the stop ends earlier."""
+        return self.close_at - self.end_at
+
 
 def plan_stop(started_at, grace_s, lag_s):
     """Return the StopPlan of an instance.
--- a/tests/gateway/test_stop_plan.py
+++ b/tests/gateway/test_stop_plan.py
@@ -17,6 +17,7 @@
     plan = stop_plan.plan_stop(0.0, 6.0, lag_s)
     assert plan.end_at < plan.close_at
     assert plan.close_at - plan.end_at >= 2 * lag_s
+    assert plan.drain_s == plan.close_at - plan.end_at
     assert 6.0 - plan.close_at >= 3 * lag_s
 
 
