Take a delay that came once for no lag

The lag is now the second longest delay of those lately, each in another sample of half a second, and a busy stretch counts once. The test of a single delay fails before.

--- a/savorycross/metrics/loop_load.py
+++ b/savorycross/metrics/loop_load.py
@@ -28,23 +28,27 @@
         self._woke_at = None
         self._sampled_at = None
         self._longest_s = 0.0
-        self._past_lag_s = 0.0
+        self._past_lags_s = 0.0, 0.0
         self._delays = collections.deque()
 
     @property
     def lag_s(self):
-        """Longest time by which an event had to wait lately, in seconds.
+        """Seconds by which events have to wait now and again.
 
         The loop runs late while it works, or while the process is not
-        allowed to run, for instance as its processor quota is used up.
+        allowed to run, for instance as its processor quota is used up. A
+        delay that came once tells nothing of the next ones, so it is the
+        second longest of those lately, each in another sample.
         """
-        return max(self._past_lag_s, self._longest_s)
+        longest_s, second_s = self._past_lags_s
+        return max(second_s, min(longest_s, self._longest_s))
 
     def before_io_wait(self, timeout):
         """Note when the loop begins to wait; called by trio."""
         now = self._now()
-        if self._woke_at is not None and now - self._woke_at > self._longest_s:
-            self._longest_s = now - self._woke_at
+        if self._woke_at is not None:
+            self._longest_s = max(self._longest_s, now - self._woke_at)
+            self._woke_at = None
         self._wait_began_at = now
 
     def after_io_wait(self, timeout):
@@ -66,7 +70,8 @@
         self._longest_s = 0.0
         while now - self._delays[0][0] > LAG_WINDOW_S:
             self._delays.popleft()
-        self._past_lag_s = max(delay_s for _, delay_s in self._delays)
+        delays_s = sorted((d for _, d in self._delays), reverse=True)
+        self._past_lags_s = delays_s[0], (*delays_s[1:2], 0.0)[0]
         if self._sampled_at is not None and now > self._sampled_at:
             elapsed_s = now - self._sampled_at
             busy = 1.0 - min(self._waited_s / elapsed_s, 1.0)
