--- a/savorycross/quota/division.py
+++ b/savorycross/quota/division.py
@@ -30,6 +30,9 @@
 # A holder keeps the tokens of this time at least, as after all were asked in
 # vain nobody is asked for as long.
 MIN_BURST_S = borrowing.PAUSE_S
+# Tokens are lent whole, so a holder keeps one more than that, as far as the
+# bound allows, if there are no more holders than these.
+USUAL_HOLDERS = 12
 # Smallest part of the rate that is granted, however small the bound is.
 MIN_RATE_PART = 0.5
 
@@ -80,6 +83,9 @@
     # A holder needs a whole token to admit anything.
     burst = max(given, MIN_BURST_S * rate_per_s, 1.0)
     longest_s = window_s + ON_THE_WAY_S
+    room = max(bound - burst - rate_per_s * factor * longest_s, 0.0)
+    useful = USUAL_HOLDERS + MIN_BURST_S * rate_per_s
+    burst = max(burst, min(useful, burst + room))
     granted = min(rate_per_s * factor, (bound - burst) / longest_s)
     rate_per_s = max(granted, MIN_RATE_PART * rate_per_s)
     spare = bound - burst - rate_per_s * longest_s
--- a/savorycross/quota/lending.py
+++ b/savorycross/quota/lending.py
@@ -50,8 +50,10 @@
         if not self._asks.count(now):
             return
         wanted = min(wanted, protocol.MAX_TOKENS)
+        lenders = quota.list_lenders(shares)
+        quota.limit_pause(len(lenders) + 1)
         lender = quota.allocation.borrowing.choose(
-            quota.list_lenders(shares), self._rng, now, wanted
+            lenders, self._rng, now, wanted
         )
         if lender is not None:
             self._asks.take(now)
--- a/savorycross/quota/workspace_quota.py
+++ b/savorycross/quota/workspace_quota.py
@@ -55,6 +55,14 @@
         bucket = self.allocation.filled(views, now)
         bucket.add(bucket.burst - before, now)
 
+    def limit_pause(self, holders):
+        """Let no bucket overflow while nobody is asked for tokens.
+
+        :param holders: number of instances that have a part.
+        """
+        pause_s = _choose_pause_s(self.grant, holders)
+        self.allocation.borrowing.max_pause_s = pause_s
+
     def record_refusal(self, until):
         """Record a refusal; return whether it is the first for some time.
 
@@ -122,6 +130,13 @@
         return self._returned_until
 
 
-def _choose_pause_s(grant):
-    """Return the longest pause in which no bucket of a holder overflows."""
-    return min(MAX_PAUSE_S, grant.burst / grant.rate_per_s)
+def _choose_pause_s(grant, holders=1):
+    """Return the longest pause in which no bucket of a holder overflows.
+
+    A holder lends whole tokens, so that it may have almost one more than
+    when it was last asked.
+    """
+    return min(
+        MAX_PAUSE_S,
+        max((grant.burst - holders) / grant.rate_per_s, borrowing.PAUSE_S),
+    )
--- a/standins/fleet/dialect.py
+++ b/standins/fleet/dialect.py
@@ -1,5 +1,7 @@
 """The headers that modelled callers and targets use."""
 
+import dataclasses
+
 from savorycross.forward import call as calls
 from savorycross.wire import messages
 
@@ -39,6 +41,14 @@
             received_at=request.received_at,
         )
 
+    def read_key(self, request):
+        """Return None, as callers of the model have no workspaces."""
+        return None
+
+    def assign(self, call, workspace):
+        """Return the Call with a workspace."""
+        return dataclasses.replace(call, workspace=workspace)
+
     def encode_send(self, call, remaining_s, target_id):
         """Return id, path and remaining milliseconds as bytes."""
         remaining_ms = max(1, int(remaining_s * 1000))
--- a/tests/quota/test_quotas.py
+++ b/tests/quota/test_quotas.py
@@ -21,6 +21,9 @@
 # Guards against instances that together admit more than the quota, and
 # against a quota that is not used as its tokens are at other instances.
 @hypothesis.settings(deadline=None, max_examples=15)
+@hypothesis.example(
+    rate_per_s=7.0, burst=0.0, limits=fleet.LIMITS, count=9, part=1.0, seed=0
+)
 @hypothesis.given(
     rate_per_s=strategies.floats(2.0, 60.0),
     burst=strategies.floats(0.0, 60.0),
