Tell how a configuration was read, and for how long changes may be missing

Neither the source of a configuration nor the age of an instance's belief was known anywhere.

Change: a mirror holds the time before which no change is missing, from its own listings and watches, and from heartbeats and copies of peers that have no newer revision. configuration.adopted names source and age_ms, request.refused age_ms; gauge store_age_seconds. Nothing decides by it yet.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -20,6 +20,8 @@
 # The first watch after an interruption returns at once, to tell whether the
 # store still has the history that the next one continues.
 CATCH_UP_WAIT_S = 0.001
+# The store waits for whole milliseconds.
+WAIT_STEP_S = 0.001
 MAX_WAIT_S = 20.0
 # Pauses between watches let one call read several changes. The pause of each
 # instance grows with the number of those that watch, up to this share of the
@@ -76,11 +78,13 @@
 
     :param revision: the store's Revision that the first page shows.
     :param sent_at: time at which the first page was asked for.
+    :param began_at: the same by the runtime clock.
     :param after: key after which the next page begins.
     """
 
     revision: object = None
     sent_at: float = 0.0
+    began_at: float = 0.0
     after: str = ''
     has_more: bool = True
     keys: set = dataclasses.field(default_factory=set)
@@ -204,6 +208,7 @@
         while listing.has_more:
             if listing.revision is None:
                 listing.sent_at = self._read_clock()
+                listing.began_at = trio.current_time()
             page = await self._store.read_page(listing.after)
             self.note_answer()
             first_revision = listing.revision or page.revision
@@ -216,6 +221,7 @@
         self._mirror.retain(keys, first_revision, trio.current_time())
         self._mirror.revision = max(first_revision, self._mirror.revision)
         self._mirror.is_complete = True
+        self._mirror.note_current(listing.began_at)
         self._on_listed(listing.sent_at)
         self._on_synced()
         was_restored = 0 < known_revision.era < first_revision.era
@@ -229,6 +235,7 @@
     async def _watch(self, wait_s):
         self.is_watching = True
         grace_s = SLOW_WATCH_GRACE_S if self._failures % 2 else WATCH_GRACE_S
+        sent_at = trio.current_time()
         try:
             with trio.move_on_after(wait_s + grace_s) as scope:
                 page = await self._store.watch(self._mirror.revision, wait_s)
@@ -242,6 +249,7 @@
         self._check_era(page, self._mirror.revision)
         self._apply(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
+        self._mirror.note_current(_find_current_at(page, sent_at, wait_s))
         self._on_synced()
         if page.items:
             await trio.sleep(self._pause_s())
@@ -301,5 +309,19 @@
             self._log.event('store.lost', reason=str(exc))
 
 
+def _find_current_at(page, sent_at, wait_s):
+    """Return the time before which no change is missing after a watch.
+
+    The store answers without changes only once the wait is over.
+
+    :param page: Page that was the answer.
+    :param sent_at: runtime clock time at which the watch was sent.
+    """
+    waited_s = wait_s - WAIT_STEP_S
+    if page.items or trio.current_time() - sent_at < waited_s:
+        return sent_at
+    return sent_at + waited_s
+
+
 def _retry_delay_s(n):
     return backoff.exponential(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, n)
--- a/savorycross/discovery/item.py
+++ b/savorycross/discovery/item.py
@@ -1,6 +1,7 @@
 """Items of the store, and the calls that read and write them."""
 
 import dataclasses
+import enum
 import typing
 
 
@@ -24,6 +25,15 @@
 NO_REVISION = Revision(0, 0)
 
 
+class Source(enum.Enum):
+    """How an item was read; the values appear in log lines."""
+
+    LISTING = 'listing'
+    WATCH = 'watch'
+    CONFIRMATION = 'confirmation'
+    PEER = 'peer'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """Holds a key of the store with its value, or its removal.
@@ -31,12 +41,14 @@
     :param revision: the Revision of the key's last change, in the era in
         which the item was read.
     :param removed: whether this change removed the key.
+    :param source: Source of the item, or None if it was not noted.
     """
 
     key: str
     revision: Revision
     value: bytes = b''
     removed: bool = False
+    source: Source | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/savorycross/discovery/mirror.py
+++ b/savorycross/discovery/mirror.py
@@ -1,6 +1,7 @@
 """A local copy of the store's items."""
 
 import dataclasses
+import math
 
 from savorycross.discovery import item as items
 from savorycross.events import failure
@@ -27,7 +28,8 @@
 
     ``revision`` is the store's Revision that the mirror has reached,
     ``is_complete`` tells whether a listing has filled it. Removals after
-    ``removals_since`` are all known with their revisions.
+    ``removals_since`` are all known with their revisions. ``age_s`` tells
+    for how long changes may be missing.
 
     :param on_change: called with the key and its new Item, or None once it
         is removed.
@@ -47,6 +49,49 @@
         self._revive_at = 0.0
         self._held_removals = {}
         self._hold_until = 0.0
+        self._current_at = -math.inf
+
+    def note_current(self, at):
+        """Note that no change is missing from before a time.
+
+        :param at: runtime clock time in seconds.
+        """
+        self._current_at = max(self._current_at, at)
+
+    def note_peer_current(self, revision, at):
+        """Note that a peer lacked no change from before a time.
+
+        This mirror lacked none either, if it has reached the peer's revision.
+
+        :param revision: the store's Revision that the peer had reached.
+        :param at: runtime clock time in seconds.
+        """
+        is_reached = (
+            revision.era == self.revision.era and revision <= self.revision
+        )
+        if self.is_complete and is_reached:
+            self.note_current(at)
+
+    def forget_current(self):
+        """Note that changes may be missing from any time."""
+        self._current_at = -math.inf
+
+    def age_s(self, now):
+        """Return the seconds for which changes may be missing.
+
+        :returns: infinity if that is not known.
+        """
+        return max(now - self._current_at, 0.0)
+
+    def age_ms(self, now):
+        """Return the same in whole milliseconds for a peer.
+
+        :returns: None if that is not known, or removals may be missing.
+        """
+        age_s = self.age_s(now)
+        if not self.is_complete or math.isinf(age_s):
+            return None
+        return math.ceil(age_s * 1000)
 
     def apply(self, item, now):
         """Apply an item or a removal, unless a newer one is known."""
--- a/savorycross/fleet/heartbeat.py
+++ b/savorycross/fleet/heartbeat.py
@@ -16,6 +16,10 @@
 
 # Version of the message format; messages of other versions are dropped.
 FORMAT = 2
+# Time that a heartbeat may take until it is read. Without it, an instance
+# that has ended seems to be heard later with each heartbeat that names it,
+# which contradicts suspicions.
+HOP_S = 0.05
 
 
 class Peer(msgspec.Struct, frozen=True, array_like=True):
@@ -134,6 +138,8 @@
         that revision itself.
     :param sequence: number that the sender raises in each step; 0 in
         versions without it.
+    :param age_ms: milliseconds for which changes after ``revision`` may be
+        missing at the sender, or None if it does not know or tell.
     """
 
     format: int
@@ -153,6 +159,7 @@
     newest: NewestRevision | None = None
     older_age_ms: _Age | None = None
     sequence: int = 0
+    age_ms: _Age | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/savorycross/fleet/heartbeat_planner.py
+++ b/savorycross/fleet/heartbeat_planner.py
@@ -277,4 +277,4 @@
         age_s = self._peers.older_age_s(now)
         if age_s is None:
             return None
-        return int((age_s + status_rows.HOP_S) * 1000)
+        return int((age_s + heartbeats.HOP_S) * 1000)
--- a/savorycross/fleet/mirror_sync.py
+++ b/savorycross/fleet/mirror_sync.py
@@ -1,5 +1,7 @@
 """Copies changes from the mirror of a peer that has seen more of them."""
 
+import typing
+
 import msgspec
 import trio
 
@@ -21,6 +23,9 @@
 MAX_BEHIND_S = 1.5
 
 
+_Age = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Snapshot(msgspec.Struct, array_like=True):
     """Holds the items of a mirror, all of them or those that changed.
 
@@ -30,6 +35,8 @@
     :param is_complete: whether a listing has filled the mirror.
     :param is_partial: whether items that did not change are left out.
     :param hold_ms: milliseconds for which removals are to be held back.
+    :param age_ms: milliseconds for which changes may be missing, or None if
+        that is not known.
     """
 
     revision: items.Revision
@@ -38,6 +45,7 @@
     is_complete: bool = False
     is_partial: bool = False
     hold_ms: int = 0
+    age_ms: _Age | None = None
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
@@ -61,6 +69,7 @@
         mirror.is_complete,
         is_partial,
         int(mirror.hold_remaining_s(now) * 1000),
+        mirror.age_ms(now),
     )
 
 
@@ -189,8 +198,14 @@
         path = PATH
         if self._mirror.is_complete:
             path = _AFTER + _format_revision(self._mirror.revision)
+        sent_at = trio.current_time()
         snapshot = await self._fetch_snapshot(ahead.peer, path)
-        return snapshot is not None and self._apply_snapshot(snapshot, ahead)
+        if snapshot is None or not self._apply_snapshot(snapshot, ahead):
+            return False
+        if snapshot.age_ms is not None:
+            current_at = sent_at - snapshot.age_ms / 1000
+            self._mirror.note_peer_current(snapshot.revision, current_at)
+        return True
 
     async def _copy_newer_configuration(self, now):
         """Copy a configuration that a peer has kept from before a restore.
@@ -207,7 +222,9 @@
             return
         self._copied_version = newer.configuration
         for key, revision, value in snapshot.items:
-            self._mirror.take_newer_value(items.Item(key, revision, value))
+            self._mirror.take_newer_value(
+                items.Item(key, revision, value, source=items.Source.PEER)
+            )
         self._log.event(
             'mirror.values_copied',
             peer=newer.peer.name,
@@ -250,7 +267,8 @@
         if snapshot.hold_ms:
             mirror.hold_removals(now, snapshot.hold_ms / 1000)
         for key, revision, value in snapshot.items:
-            mirror.apply(items.Item(key, revision, value), now)
+            copied = items.Item(key, revision, value, source=items.Source.PEER)
+            mirror.apply(copied, now)
         for key, revision in snapshot.removals:
             mirror.apply(items.Item(key, revision, removed=True), now)
         if not snapshot.is_partial:
--- a/savorycross/fleet/peer_registry.py
+++ b/savorycross/fleet/peer_registry.py
@@ -44,9 +44,17 @@
     :param log: EventLog.
     :param full_exchange_max: instances of a data centre up to which all of
         them exchange everything.
+    :param on_current: called with a Revision and the time before which a
+        peer that has reached it lacked no change of the store.
     """
 
-    def __init__(self, own, log, full_exchange_max=FULL_EXCHANGE_MAX):
+    def __init__(
+        self,
+        own,
+        log,
+        full_exchange_max=FULL_EXCHANGE_MAX,
+        on_current=lambda revision, at: None,
+    ):
         self.own = own
         self.introductions = introductions.Introductions()
         self.detector = failure_detector.FailureDetector(own.data_centre)
@@ -55,6 +63,7 @@
         self._older_heard_at = None
         self._log = log
         self._full_exchange_max = full_exchange_max
+        self._on_current = on_current
         self._by_name = {}
         self._by_id = {}
         self._by_data_centre = {}
@@ -360,6 +369,9 @@
         revision = items.Revision(heartbeat.era, heartbeat.revision)
         holder = heartbeat.sender
         self.newest.learn(revision, holder, self._is_local(holder), now)
+        if heartbeat.age_ms is not None:
+            age_s = heartbeat.age_ms / 1000 + heartbeats.HOP_S
+            self._on_current(revision, now - age_s)
         newest = heartbeat.newest
         if newest is not None:
             revision = items.Revision(newest.era, newest.revision)
--- a/savorycross/fleet/status_rows.py
+++ b/savorycross/fleet/status_rows.py
@@ -15,10 +15,6 @@
 # A heartbeat that tells a new instance of all others must fit in a datagram.
 # Rows take up to 21 bytes, and datagrams up to 16,384 are read.
 MAX_ROWS = 700
-# Time that a heartbeat may take until it is read. Without it, an instance
-# that has ended seems to be heard later with each heartbeat that names it,
-# which contradicts suspicions.
-HOP_S = 0.05
 
 
 class RowSelector:
@@ -38,7 +34,7 @@
         states = self._peers.live_states(now)
         if len(states) > MAX_ROWS:
             states = self._rng.sample(states, MAX_ROWS)
-        return tuple(s.make_row(now, HOP_S) for s in states)
+        return tuple(s.make_row(now, heartbeats.HOP_S) for s in states)
 
     def select_recent(self, now, data_centres=None):
         """Return a StatusRow for each instance heard recently.
@@ -76,7 +72,7 @@
         chosen.update(dict.fromkeys(self._take_turn(now)))
         states = (self._peers.find_state(id_) for id_ in chosen)
         return tuple(
-            s.make_row(now, HOP_S)
+            s.make_row(now, heartbeats.HOP_S)
             for s in states
             if s is not None and s.heard_at is not None
         )
--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -38,6 +38,8 @@
     :param quotas: Quotas, or None if no workspace has one.
     :param key_check: KeyCheck; by default there is no bound on withdrawn
         keys.
+    :param read_age_ms: callable that returns the milliseconds for which
+        changes of the configuration may be missing, or None.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         read_lag_s=lambda: 0.0,
         quotas=None,
         key_check=None,
+        read_age_ms=lambda: None,
     ):
         self.configuration = None
         self.end_at = math.inf
@@ -53,6 +56,7 @@
         self._engine = engine
         self._read_lag_s = read_lag_s
         self._key_check = key_check or key_checks.KeyCheck()
+        self._read_age_ms = read_age_ms
         self._balancers = {}
         self.has_workspaces = False
         self.workspace_counts = workspace_counts.WorkspaceCounts()
@@ -275,6 +279,7 @@
             status=status,
             reason=reason,
             version=self.version,
+            age_ms=self._read_age_ms(),
             host=call.host,
             path=call.path,
             **_name_workspace(call),
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -111,7 +111,11 @@
         )
         self._own_key = self._adapter.keys.instance_key(settings.name)
         self._peer_registry = peer_registry.PeerRegistry(
-            self._own_peer, self.log
+            self._own_peer,
+            self.log,
+            on_current=lambda revision, at: self._mirror.note_peer_current(
+                revision, at
+            ),
         )
         self._loop_load = loop_load.LoopLoad()
         self._directory = directory.Directory(
@@ -162,6 +166,7 @@
                 boot_clock.read_boot_clock,
                 lambda: self._confirmations.store_confirmer.ask(),
             ),
+            self._read_age_ms,
         )
 
     def _make_limits(self):
@@ -191,6 +196,7 @@
             self.metrics,
             trio.current_time,
             self._limits.on_entry,
+            self._read_age_ms,
         )
         self._mirror = mirrors.Mirror(
             self._store_changes.apply, self._adapter.keys.is_older
@@ -231,6 +237,9 @@
             self.log,
         )
 
+    def _read_age_ms(self):
+        return self._mirror.age_ms(trio.current_time())
+
     def _lacks_targets(self):
         """Return whether targets are missing that requests already need."""
         return (
@@ -388,7 +397,11 @@
                 self._limits.update,
                 self._limits.quotas.maintain,
             ),
-            (self._target_registry.close_idle, self._follower.restart),
+            (
+                self._target_registry.close_idle,
+                self._mirror.forget_current,
+                self._follower.restart,
+            ),
             self.log,
         )
 
--- a/savorycross/gateway/metrics_page.py
+++ b/savorycross/gateway/metrics_page.py
@@ -82,6 +82,9 @@
         gauge('store_connected', int(sources.follower.is_connected))
         gauge('store_revision', sources.mirror.revision.number)
         gauge('store_era', sources.mirror.revision.era)
+        age_ms = sources.mirror.age_ms(trio.current_time())
+        if age_ms is not None:
+            gauge('store_age_seconds', age_ms / 1000)
         gauge(
             'store_connections',
             sum(store.connection_count for store in sources.stores),
--- a/savorycross/gateway/own_status.py
+++ b/savorycross/gateway/own_status.py
@@ -1,5 +1,7 @@
 """What an instance tells others about itself, and when it is ready."""
 
+import trio
+
 from savorycross.fleet import heartbeat
 
 
@@ -50,6 +52,7 @@
             'has_store': self._follower.is_connected,
             'load': round(100 * self._loop_load.value),
             'capacity': round(1000 * self._read_speed()),
+            'age_ms': self._mirror.age_ms(trio.current_time()),
         }
 
     def _find_settled_version(self):
--- a/savorycross/gateway/store_changes.py
+++ b/savorycross/gateway/store_changes.py
@@ -17,6 +17,8 @@
     :param now: callable that returns the runtime clock time in seconds.
     :param on_peer: called with the key and the Item of an instance's
         announcement, or with None for the item once it is removed.
+    :param read_age_ms: callable that returns the milliseconds for which
+        changes of the store may be missing, or None.
 
     ``on_rollout`` is called in the same way with the items of roll-outs.
     """
@@ -31,6 +33,7 @@
         metrics,
         now,
         on_peer,
+        read_age_ms=lambda: None,
     ):
         self._keys = keys
         self._decode_configuration = decode_configuration
@@ -40,6 +43,7 @@
         self._metrics = metrics
         self._now = now
         self._on_peer = on_peer
+        self._read_age_ms = read_age_ms
         self.on_rollout = lambda key, item: None
 
     def apply(self, key, item):
@@ -103,6 +107,8 @@
             'configuration.adopted',
             version=configuration.version,
             revision=item.revision,
+            source=item.source and item.source.value,
+            age_ms=self._read_age_ms(),
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces.workspaces),
         )
--- a/savorycross/platform/store.py
+++ b/savorycross/platform/store.py
@@ -73,22 +73,23 @@
         query = {'prefix': ''}
         if after:
             query['after'] = after
-        return self._read_range(await self._list(query))
+        reply = await self._list(query)
+        return self._read_range(reply, item.Source.LISTING)
 
     async def read_key(self, key):
         """Return a key as it is now, and others that begin with it."""
         reply = await self._call(
             b'GET', '/v1/kv-range', {'prefix': key}, timeout_s=math.inf
         )
-        return self._read_range(reply)
+        return self._read_range(reply, item.Source.CONFIRMATION)
 
-    def _read_range(self, reply):
+    def _read_range(self, reply, source):
         page = _decode(reply, _range_decoder)
         if page.has_more and not page.items:
             raise errors.StoreUnavailableError('a page without items has more')
         era = self._read_era(reply)
         return item.Page(
-            _to_items(page.items, era),
+            _to_items(page.items, era, source),
             item.Revision(era, page.current_rev),
             page.has_more,
         )
@@ -112,13 +113,16 @@
 
     async def watch(self, revision, wait_s):
         """Return the changes after a revision, waiting for the first."""
-        return await self._watch('', revision, int(wait_s * 1000))
+        wait_ms = int(wait_s * 1000)
+        return await self._watch('', revision, wait_ms, item.Source.WATCH)
 
     async def read_changes(self, key, revision):
         """Return the changes of a key after a revision, at once."""
-        return await self._watch(key, revision, NO_WAIT_MS)
+        return await self._watch(
+            key, revision, NO_WAIT_MS, item.Source.CONFIRMATION
+        )
 
-    async def _watch(self, prefix, revision, wait_ms):
+    async def _watch(self, prefix, revision, wait_ms, source):
         query = {
             'prefix': prefix,
             'after': revision.number,
@@ -132,7 +136,7 @@
         changes = _decode(reply, _watch_decoder)
         era = self._read_era(reply)
         return item.Page(
-            _to_items(changes.events, era),
+            _to_items(changes.events, era, source),
             item.Revision(era, changes.current_rev),
         )
 
@@ -230,13 +234,14 @@
             ) from exc
 
 
-def _to_items(wire_items, era):
+def _to_items(wire_items, era, source):
     return tuple(
         item.Item(
             i.key,
             item.Revision(era, i.rev),
             _decode_value(i.value),
             i.removed,
+            source,
         )
         for i in wire_items
     )
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -411,3 +411,18 @@
 def _fail_after(store, key):
     """Let the store fail after the first page."""
     store.is_down = key == 'a'
+
+
+async def test_answered_watch_tells_how_current_the_mirror_is(
+    world, autojump_clock
+):
+    store, copy, _ = world
+    for _ in range(40):
+        await trio.sleep(0.25)
+        age_s = copy.age_s(trio.current_time())
+        assert age_s <= TIMING.wait_s + follower.CATCH_UP_WAIT_S + 0.1
+    store.is_down = True
+    store.put_value('b', b'2')
+    lost_at = trio.current_time()
+    await trio.sleep(30)
+    assert copy.age_s(trio.current_time()) >= trio.current_time() - lost_at
--- a/tests/discovery/test_mirror.py
+++ b/tests/discovery/test_mirror.py
@@ -1,5 +1,7 @@
 """The local copy of the store's items."""
 
+import pytest
+
 from savorycross.discovery import item
 from savorycross.discovery import mirror
 from tests.discovery import fakes
@@ -190,3 +192,40 @@
     tested.apply(item.Item('a', fakes.at(1, era=2), b'y'), 0.0)
     tested.take_newer_value(item.Item('a', fakes.at(1, era=2), b'z'))
     assert changes == [('a', b'x'), ('a', b'y')]
+
+
+def _make_complete(revision, current_at):
+    tested, _ = _make()
+    tested.revision = revision
+    tested.is_complete = True
+    tested.note_current(current_at)
+    return tested
+
+
+# Guards against a mirror that counts as current because an older one is not
+# known to be.
+def test_age_is_not_known_before_a_listing():
+    tested, _ = _make()
+    assert tested.age_ms(5.0) is None
+    tested.note_peer_current(fakes.at(9), 4.0)
+    assert tested.age_ms(5.0) is None
+
+
+@pytest.mark.parametrize(
+    'peer_revision, age_s',
+    [
+        (fakes.at(7), 1.0),
+        (fakes.at(6), 1.0),
+        (fakes.at(8), 3.0),
+        (fakes.at(6, era=2), 3.0),
+        (fakes.at(6, era=0), 3.0),
+    ],
+)
+def test_peer_with_nothing_newer_tells_how_current_the_mirror_is(
+    peer_revision, age_s
+):
+    tested = _make_complete(fakes.at(7), current_at=10.0)
+    tested.note_peer_current(peer_revision, 12.0)
+    assert tested.age_s(13.0) == age_s
+    tested.note_current(11.0)
+    assert tested.age_s(13.0) == min(age_s, 2.0)
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -89,7 +89,7 @@
 
 def _decode_page(data):
     page = store._decode(messages.Reply(200, (), data), store._range_decoder)
-    return store._to_items(page.items, 1)
+    return store._to_items(page.items, 1, item.Source.LISTING)
 
 
 DECODERS = {
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -13,7 +13,7 @@
 def make(*services):
     """Return a Gateway with one route to all services, and its engine."""
     engine = fake_engine.FakeEngine()
-    result = gateway.Gateway(engine)
+    result = gateway.Gateway(engine, read_age_ms=lambda: 2500)
     route = fake_engine.make_route(services)
     result.adopt(
         configuration.make_configuration(1, [route], {}, server.Limits())
@@ -44,6 +44,7 @@
     current.handle(messages.Request(b'GET', b'/x', headers), lambda reply: 0)
     (fields,) = engine.log.fields('request.refused')
     assert (fields['status'], fields['version']) == (404, 1)
+    assert fields['age_ms'] == 2500
 
 
 def _handle(current, engine):
