Read the store where nobody has confirmed for too long that nothing changed

Callers saw: requests handled by an older version after a newer one was due (CONFIG), on instances that had never lost the store.

Cause: an instance that does not watch the store learns of a change only from those that do, and took their silence for that of the store. Those that watch notice a lost store once their watch is overdue, after up to 7.5 s with the bounds of the large deployments. That time was chosen for their own sake, as an instance that is cut off owes no bound; the others still owe it.

--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -225,6 +225,8 @@
             self._read_speed,
             trio.current_time()
             + (watch_duty.SETTLE_S if self._settings.seeds else 0.0),
+            self._mirror.age_s,
+            self._settings.change_deadline_s,
         )
         self._own_status = own_status.OwnStatus(
             self._directory,
