Tell nobody for good that a route or key does not exist if it may have been added

Cause: the gateway looked for the route before any question of how old its configuration was. Keys had that question only where withdrawals are bounded.

Change: an instance whose mirror may lack changes for longer than an outage and a change may take (the bounds of the settings) answers 503 with Retry-After in place of 404 and 401. Routes that it knows are served on.

--- a/savorycross/gateway/gateway.py
+++ b/savorycross/gateway/gateway.py
@@ -40,6 +40,8 @@
         keys.
     :param read_age_ms: callable that returns the milliseconds for which
         changes of the configuration may be missing, or None.
+    :param is_outdated: callable that returns whether changes that must be in
+        force may be missing.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         quotas=None,
         key_check=None,
         read_age_ms=lambda: None,
+        is_outdated=lambda: False,
     ):
         self.configuration = None
         self.end_at = math.inf
@@ -57,6 +60,7 @@
         self._read_lag_s = read_lag_s
         self._key_check = key_check or key_checks.KeyCheck()
         self._read_age_ms = read_age_ms
+        self._is_outdated = is_outdated
         self._balancers = {}
         self.has_workspaces = False
         self.workspace_counts = workspace_counts.WorkspaceCounts()
@@ -127,7 +131,7 @@
             return None
         route = self.configuration.table.find(call.host, call.path)
         if route is None:
-            self._refuse(call, respond, 404, 'no route')
+            self._deny(call, respond, 404, 'no route')
             return None
         if self.has_workspaces and not route.is_public:
             call = self._admit(call, request, route, respond)
@@ -180,7 +184,7 @@
         """Refuse a call because of its key, which no record may name."""
         reason = f'key {outcome.value}'
         if outcome is not key_checks.Outcome.UNCONFIRMED:
-            self._refuse(call, respond, 401, reason)
+            self._deny(call, respond, 401, reason)
             return
         engine = self._engine
         self._record_refusal(call, 503, reason)
@@ -263,6 +267,16 @@
             self._engine.make_refusal(call, route, self._return_at, end_at)
         )
 
+    def _deny(self, call, respond, status, reason):
+        """Refuse a call that the configuration in force does not allow.
+
+        A newer one may allow it. Callers return after 503, but not after the
+        other status.
+        """
+        if self._is_outdated():
+            status, reason = 503, f'{reason} in an outdated configuration'
+        self._refuse(call, respond, status, reason)
+
     def _refuse(self, call, respond, status, reason):
         retry_after_s = (
             NO_CONFIGURATION_RETRY_AFTER_S if status == 503 else None
--- a/savorycross/gateway/instance.py
+++ b/savorycross/gateway/instance.py
@@ -167,6 +167,7 @@
                 lambda: self._confirmations.store_confirmer.ask(),
             ),
             self._read_age_ms,
+            self._is_outdated,
         )
 
     def _make_limits(self):
@@ -239,6 +240,15 @@
             self.log,
         )
 
+    def _is_outdated(self):
+        """Return whether changes that must be in force may be missing.
+
+        No watch that the store does not answer lasts longer.
+        """
+        settings = self._settings
+        max_age_s = settings.recovery_s + settings.change_deadline_s
+        return self._mirror.age_s(trio.current_time()) > max_age_s
+
     def _read_age_ms(self):
         return self._mirror.age_ms(trio.current_time())
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -10,10 +10,12 @@
 from tests import recording_log
 
 
-def make(*services):
+def make(*services, is_outdated=False):
     """Return a Gateway with one route to all services, and its engine."""
     engine = fake_engine.FakeEngine()
-    result = gateway.Gateway(engine, read_age_ms=lambda: 2500)
+    result = gateway.Gateway(
+        engine, read_age_ms=lambda: 2500, is_outdated=lambda: is_outdated
+    )
     route = fake_engine.make_route(services)
     result.adopt(
         configuration.make_configuration(1, [route], {}, server.Limits())
@@ -47,11 +49,31 @@
     assert fields['age_ms'] == 2500
 
 
-def _handle(current, engine):
+# Guards against callers that are told for good that a route does not exist,
+# by an instance that missed the configuration with it.
+@pytest.mark.parametrize('is_outdated', [False, True])
+def test_outdated_instance_tells_nobody_that_a_route_does_not_exist(
+    is_outdated,
+):
+    current, engine = make('s0', is_outdated=is_outdated)
+    (reply,) = _handle(current, engine, host=b'other.example')
+    assert reply.status == (503 if is_outdated else 404)
+    assert bool(reply.header(b'retry-after')) == is_outdated
+    assert not engine.sends
+
+
+def test_outdated_instance_forwards_by_the_routes_that_it_knows():
+    current, engine = make('s0', is_outdated=True)
+    engine.add_target('s0', 's0')
+    assert not _handle(current, engine)
+    assert engine.sends
+
+
+def _handle(current, engine, host=b'h'):
     """Handle a request now; return the replies that it gets."""
     replies = []
     headers = (
-        (b'Host', b'h'),
+        (b'Host', host),
         (b'Request-Id', fake_engine.ID),
         (b'Deadline-Ms', b'1000'),
     )
--- a/tests/gateway/test_workspaces.py
+++ b/tests/gateway/test_workspaces.py
@@ -163,6 +163,16 @@
     assert single().request(path=b'/other') == [404]
 
 
+# Guards against callers that give up for a key that a configuration which the
+# instance missed no longer asks for, or declares.
+@pytest.mark.parametrize('headers', [(), ((b'Api-Key', b'added'),)])
+def test_outdated_instance_refuses_no_key_for_good(headers):
+    world = single()
+    world.gateway = gateway.Gateway(world.engine, is_outdated=lambda: True)
+    world.adopt([(LATER, [KEY.decode()])])
+    assert world.request(*headers) == [503]
+
+
 # Guards against callers that give their keys up as an instance starts.
 def test_instance_without_a_configuration_does_not_judge_keys():
     world = single()
