Refuse replies whose status is no HTTP status

Cause: the parser takes any three digits, and HTTP/0.9 and 2.0; the connection took all below 200 for informational replies.

Change: wire.status_line refuses other statuses than 100 to 599 and other versions than 1.0 and 1.1 once the head is read; the connection is closed and the send is lost, as for any bytes that are no reply. The same for targets of the product's own interface.

--- a/savorycross/target/connection.py
+++ b/savorycross/target/connection.py
@@ -7,6 +7,7 @@
 import trio
 
 from savorycross import errors
+from savorycross.wire import status_line
 
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 65536
@@ -114,6 +115,10 @@
             if not self.is_open:
                 return
 
+    def on_headers_complete(self):
+        """Refuse an invalid status line; called by the parser."""
+        status_line.check(self._parser)
+
     def on_header(self, name, value):
         """Store a header of the reply; called by the parser."""
         self._pending.headers[name.lower()] = value
--- a/savorycross/wire/outbound.py
+++ b/savorycross/wire/outbound.py
@@ -10,6 +10,7 @@
 from savorycross.events import failure
 from savorycross.wire import messages
 from savorycross.wire import reply_size
+from savorycross.wire import status_line
 from savorycross.wire import transport as transports
 
 CONNECT_TIMEOUT_S = 1.0
@@ -223,6 +224,7 @@
 
         Called by the parser. A reply to a HEAD request is complete here.
         """
+        status_line.check(self._parser)
         status = self._parser.get_status_code()
         if status < 200:
             return
--- a/tests/target/test_connection.py
+++ b/tests/target/test_connection.py
@@ -67,6 +67,19 @@
     assert harness.conn.pending.key == b'k1'
 
 
+# Guards against a connection that is used again after a reply that is none.
+@pytest.mark.parametrize('status_line', [b'HTTP/1.1 000', b'HTTP/1.1 999'])
+async def test_reply_with_an_invalid_status_closes_the_connection(
+    harness, status_line
+):
+    await harness.ask()
+    data = REPLY % (b'k1', 2, b'[]')
+    await harness.target.send_all(data.replace(b'HTTP/1.1 200', status_line))
+    await harness.ended.wait()
+    assert harness.completed == []
+    assert not harness.conn.is_open
+
+
 async def test_truncated_reply_is_not_passed_on(harness):
     await harness.ask()
     await harness.reply(body=b'[1, 2, 3]', cut=-4)
