Count a watch that ended with changes as recent

Cause: the age of a mirror counted from the send of the last watch. With a change at the end of each long one, an instance that has missed nothing would have seemed up to 15 s old (bounds of the large deployments), over the 10 s from which it answers 503 in place of 404.

Change: an answer counts as at most WATCH_GRACE_S old; a later one would have ended the watch.

--- a/savorycross/discovery/follower.py
+++ b/savorycross/discovery/follower.py
@@ -20,8 +20,6 @@
 # The first watch after an interruption returns at once, to tell whether the
 # store still has the history that the next one continues.
 CATCH_UP_WAIT_S = 0.001
-# The store waits for whole milliseconds.
-WAIT_STEP_S = 0.001
 MAX_WAIT_S = 20.0
 # Pauses between watches let one call read several changes. The pause of each
 # instance grows with the number of those that watch, up to this share of the
@@ -249,7 +247,9 @@
         self._check_era(page, self._mirror.revision)
         self._apply(page.items)
         self._mirror.revision = max(page.revision, self._mirror.revision)
-        self._mirror.note_current(_find_current_at(page, sent_at, wait_s))
+        # An answer that took longer would have been too late.
+        answered_at = trio.current_time() - WATCH_GRACE_S
+        self._mirror.note_current(max(sent_at, answered_at))
         self._on_synced()
         if page.items:
             await trio.sleep(self._pause_s())
@@ -309,19 +309,5 @@
             self._log.event('store.lost', reason=str(exc))
 
 
-def _find_current_at(page, sent_at, wait_s):
-    """Return the time before which no change is missing after a watch.
-
-    The store answers without changes only once the wait is over.
-
-    :param page: Page that was the answer.
-    :param sent_at: runtime clock time at which the watch was sent.
-    """
-    waited_s = wait_s - WAIT_STEP_S
-    if page.items or trio.current_time() - sent_at < waited_s:
-        return sent_at
-    return sent_at + waited_s
-
-
 def _retry_delay_s(n):
     return backoff.exponential(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, n)
