Read the sheet once nobody confirms that the one in force is the newest

Callers of the product's own interface would have seen: answers by an older sheet for up to 15 s after a newer one was accepted.

Cause: the four members that come first by name read the store each 0.5 s, the others each 15 s. If those four lose the store, nobody takes over, and the others take their silence for the absence of changes.

Change: heartbeats tell for how long a newer sheet may be missing at the sender; it holds for all that have the same one or a newer one. A member that nobody has confirmed for 2 s reads the store, one after the other.

--- a/savorycross/daemon/instance.py
+++ b/savorycross/daemon/instance.py
@@ -179,6 +179,7 @@
             self._on_liveness,
             self.journal,
             self.dependencies.seed,
+            lambda: self.catalogue.version,
         )
 
     async def run(self):
@@ -450,6 +451,7 @@
             load=self._load(),
             leaving=self.leaving,
             stamp=self.clock.tick(),
+            confirmed_age_ms=self.group.confirmed_age_ms(trio.current_time()),
         )
 
     def _load(self):
--- a/savorycross/membership/detector.py
+++ b/savorycross/membership/detector.py
@@ -96,6 +96,7 @@
     :param load: requests in progress.
     :param leaving: whether it is about to leave.
     :param stamp: hybrid clock stamp.
+    :param confirmed_age_ms: see ``Datagram``.
     """
 
     view_epoch: int = 0
@@ -103,6 +104,7 @@
     load: float = 0.0
     leaving: bool = False
     stamp: int = 0
+    confirmed_age_ms: int | None = None
 
 
 class FailureDetector:
@@ -393,4 +395,5 @@
             load=header.load,
             leaving=header.leaving,
             rumours=self._next_rumours(),
+            confirmed_age_ms=header.confirmed_age_ms,
         )
--- a/savorycross/membership/group.py
+++ b/savorycross/membership/group.py
@@ -16,6 +16,11 @@
 SYNC_RETRY_S = 0.25
 SLOW_SYNC_INTERVAL_S = 15.0
 STORE_READERS = 4
+# An instance that reads the store seldom reads it once nobody has confirmed
+# for this long that nothing newer is in it, one instance after the other.
+MAX_UNCONFIRMED_S = 2.0
+TURN_S = 0.2
+MAX_TURNS_S = 2.0
 JOIN_REQUEST_TTL_S = 5.0
 
 
@@ -34,6 +39,8 @@
         have been added or removed.
     :param journal: Journal.
     :param seed: seed of the probe order.
+    :param read_version: callable that returns the version of the catalogue
+        in force.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         on_liveness,
         journal,
         seed=0,
+        read_version=lambda: 0,
     ):
         self.own = own
         self.view = views.EMPTY_VIEW
@@ -60,6 +68,8 @@
         self._on_manifest = on_manifest
         self._on_liveness = on_liveness
         self._journal = journal
+        self._read_version = read_version
+        self._confirmed_at = -math.inf
         self._join_requests = {}
         self._inbox_sender, self._inbox = trio.open_memory_channel(math.inf)
         self.is_store_up = False
@@ -123,6 +133,7 @@
             out = []
             if datagram is not None:
                 self._journal.clock.merge(datagram.stamp)
+                self.note_confirmation(datagram, now)
                 out += self.detector.handle_datagram(datagram, now)
             out += self.detector.run_due_timers(now)
             for member, message in out:
@@ -131,6 +142,28 @@
             if self.detector.change_count != changes_before:
                 self._on_liveness()
 
+    def confirmed_age_ms(self, now):
+        """Return the milliseconds since the catalogue was the newest one.
+
+        :param now: runtime clock time in seconds.
+        :returns: None if that is not known.
+        """
+        if math.isinf(self._confirmed_at):
+            return None
+        return math.ceil((now - self._confirmed_at) * 1000)
+
+    def note_confirmation(self, datagram, now):
+        """Note for how long a peer may have missed a newer catalogue.
+
+        This instance has missed none either, unless its own is older.
+
+        :param datagram: Datagram of the peer.
+        """
+        age_ms = datagram.confirmed_age_ms
+        if age_ms is None or datagram.config_version > self._read_version():
+            return
+        self._confirmed_at = max(self._confirmed_at, now - age_ms / 1000)
+
     def _record_acks(self):
         acks, self.detector.received_acks = self.detector.received_acks, []
         for ack in acks:
@@ -142,27 +175,40 @@
     async def run_sync(self):
         """Synchronise with the store at intervals until cancelled."""
         while True:
-            pause_s = self._sync_interval_s()
             try:
                 await self.sync()
                 self.is_store_up = True
+                await self._wait_for_sync()
             except errors.StoreUnavailableError:
                 self.is_store_up = False
-                pause_s = SYNC_RETRY_S
-            await trio.sleep(pause_s)
+                await trio.sleep(SYNC_RETRY_S)
+
+    async def _wait_for_sync(self):
+        """Wait until the store is to be read again.
+
+        Few instances read it often; the others learn of changes by gossip,
+        as long as it also tells that there are none.
+        """
+        seldom_at = trio.current_time() + SLOW_SYNC_INTERVAL_S
+        while True:
+            await trio.sleep(SYNC_INTERVAL_S)
+            now = trio.current_time()
+            turns = self._count_turns()
+            if now >= seldom_at or turns <= 0:
+                return
+            patience_s = MAX_UNCONFIRMED_S + min(turns * TURN_S, MAX_TURNS_S)
+            if now - self._confirmed_at >= patience_s:
+                return
 
-    def _sync_interval_s(self):
-        """Return the seconds until the next synchronisation.
+    def _count_turns(self):
+        """Return how many others read the store before this instance.
 
-        Few instances read the store often; the others learn of changes by
-        gossip.
+        :returns: 0 if it is to read often.
         """
         if not self.is_member:
-            return SYNC_INTERVAL_S
+            return 0
         names = sorted(m.name for m in self.alive_members())
-        if names.index(self.own.name) < STORE_READERS:
-            return SYNC_INTERVAL_S
-        return SLOW_SYNC_INTERVAL_S
+        return max(names.index(self.own.name) - STORE_READERS + 1, 0)
 
     async def sync(self):
         """Read view and manifest once, and propose a view if one is due.
@@ -176,6 +222,7 @@
         manifest, revision = await publish.read_manifest(self._store)
         self.adopt(view)
         await self._on_manifest(manifest, revision, asked_at)
+        self._confirmed_at = max(self._confirmed_at, asked_at)
         generation = leases.Generation(view.epoch, manifest.version)
         self.ownership_lease.record_store_read(generation, asked_at)
         await self._propose(view, held, entry.revision)
--- a/savorycross/peer/codec.py
+++ b/savorycross/peer/codec.py
@@ -323,6 +323,9 @@
             {'name': r.name, 'incarnation': r.incarnation, 'status': r.status}
             for r in msg.rumours
         ],
+        confirmedAgeMs=(
+            -1 if msg.confirmed_age_ms is None else msg.confirmed_age_ms
+        ),
     ).to_bytes_packed()
 
 
@@ -348,6 +351,9 @@
                 messages.Rumour(r.name, r.incarnation, r.status)
                 for r in struct.rumours
             ),
+            confirmed_age_ms=(
+                None if struct.confirmedAgeMs < 0 else struct.confirmedAgeMs
+            ),
         )
     except _DECODE_ERRORS as exc:
         raise errors.PeerProtocolError('invalid datagram') from exc
--- a/savorycross/peer/messages.py
+++ b/savorycross/peer/messages.py
@@ -194,6 +194,8 @@
     :param stamp: hybrid clock stamp of the time of sending.
     :param load: number of requests in progress on the sender.
     :param leaving: whether the sender is leaving.
+    :param confirmed_age_ms: milliseconds since the store last had nothing
+        newer than the sender's configuration, or None if it cannot tell.
     """
 
     kind: str
@@ -207,3 +209,4 @@
     load: float = 0.0
     leaving: bool = False
     rumours: tuple[Rumour, ...] = ()
+    confirmed_age_ms: int | None = None
--- a/savorycross/peer/schema.capnp
+++ b/savorycross/peer/schema.capnp
@@ -129,4 +129,5 @@
   load @8 :Float32;
   leaving @9 :Bool;
   rumours @10 :List(Rumour);
+  confirmedAgeMs @11 :Int64 = -1;
 }
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -53,7 +53,7 @@
 def test_decoded_datagram_equals_the_encoded_one():
     rumour = messages.Rumour('c', 5, 'suspect')
     datagram = messages.Datagram(
-        'ping', 'a', 1, 2, 'b', 3, 4, 5, 0.5, True, (rumour,)
+        'ping', 'a', 1, 2, 'b', 3, 4, 5, 0.5, True, (rumour,), 250
     )
     data = codec.encode_datagram(datagram)
     assert codec.decode_datagram(data) == datagram
