--- a/review/testbed-2/backend.py
+++ b/review/testbed-2/backend.py
@@ -69,6 +69,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def leave(self):
+        """Remove the entry and write none again, but go on to serve."""
+        self._beating.cancel()
+        self._store.remove(self.key)
+
     def announce(self):
         """Write the entry, unless the store does not take it now."""
         if self._store.mode != 'ok':
