--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,6 +1,7 @@
 """All open connections to the store go silent; a change follows."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -11,6 +12,9 @@
 
 import testbed as testbeds  # noqa: E402
 
+RECORD = HERE / 'record.txt'
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 DEADLINE_MS = 800
 ASKED_PER_S = 20.0
 # Pauses between the first change, the silence and the second change.
@@ -102,4 +106,4 @@
 
 
 if __name__ == '__main__':
-    testbeds.play(__file__, play)
+    testbeds.play(play, RECORD, HAS_TROUBLE)
--- a/review/testbed-2/testbed.py
+++ b/review/testbed-2/testbed.py
@@ -157,11 +157,12 @@
 class Testbed:
     """A store, backends and instances, and what was seen of them.
 
-    :param case: folder of the case, where ``record.txt`` is written.
+    :param record_path: file in which it is recorded what was seen.
+    :param has_trouble: whether the disruption of the case is to happen.
     """
 
-    def __init__(self, case, bounds=(), instances=4):
-        self.has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    def __init__(self, record_path, has_trouble, bounds=(), instances=4):
+        self.has_trouble = has_trouble
         self.bounds = {**BOUNDS, **dict(bounds)}
         self.network = _find_network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -169,7 +170,7 @@
         self.instances = [
             Instance(self, n, ZONES[n]) for n in range(instances)
         ]
-        self._record_file = open(case / 'record.txt', 'w')
+        self._record_file = open(record_path, 'w')
         self._began_at = time.monotonic()
         self.store = stores.Store(self.record)
 
@@ -179,7 +180,7 @@
         return time.monotonic() - self._began_at
 
     def record(self, *words):
-        """Write a line into ``record.txt``."""
+        """Write a line into the record."""
         text = ' '.join(str(w) for w in words)
         self._record_file.write(f'{self.now_s:9.3f} {text}\n')
 
@@ -300,16 +301,17 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case, make_coroutine, **fields):
+def play(make_coroutine, record_path, has_trouble, **fields):
     """Play a case and exit with 0, 1 or 2.
 
-    :param case: path of the case's script.
     :param make_coroutine: callable that takes the Testbed and returns a
         coroutine, whose result is the list of violations as text.
+    :param record_path: see ``Testbed``.
+    :param has_trouble: see ``Testbed``.
     """
 
     async def run():
-        testbed = Testbed(pathlib.Path(case).resolve().parent, **fields)
+        testbed = Testbed(record_path, has_trouble, **fields)
         try:
             async with asyncio.timeout(LAST_RUN_S):
                 await testbed.store.start(f'{testbed.network}.99')
